--- /dev/null
+++ b/crates/cicadaweir-core/src/load.rs
@@ -0,0 +1,15 @@
+//! Which targets take less or no new work, and which openings are refused.
+
+mod admission;
+mod judge;
+mod mark;
+mod options;
+mod passive;
+mod report;
+
+pub use admission::Admission;
+pub use judge::Judge;
+pub use mark::{Mark, MarkUpdate};
+pub use options::Options;
+pub use passive::Passive;
+pub use report::{LoadUpdate, ProbeResult, Report};
--- /dev/null
+++ b/crates/cicadaweir-core/src/node/health.rs
@@ -0,0 +1,176 @@
+//! Marks: which targets this member probes and what it concludes.
+
+use crate::{
+    hash,
+    load::{Admission, Judge, Mark, MarkUpdate, Passive, ProbeResult},
+    membership::{Member, MemberId},
+    prelude::*,
+};
+
+use super::Node;
+
+/// What a node keeps of one target.
+#[derive(Debug, Clone, Default)]
+pub(super) struct TargetState {
+    pub judge: Judge,
+    pub passive: Passive,
+    pub admission: Admission,
+    pub mark_version: u32,
+    pub marked_since: Instant,
+    pub load_version: u32,
+    pub probed_here: bool,
+    pub next_probe: Instant,
+}
+
+/// The parts into which the time of a ramp is divided.
+const RAMP_PARTS: u64 = 256;
+
+impl Node {
+    pub(super) fn grow_targets(&mut self, now: Instant) {
+        let count = self.catalog.targets().count();
+        self.targets.resize_with(count, || TargetState {
+            marked_since: now,
+            ..TargetState::default()
+        });
+    }
+
+    /// Recomputes which targets this member probes: each target has one
+    /// prober, of its own zone if that has any member.
+    pub(super) fn refresh_probing(&mut self) {
+        let members: Vec<Member> = self.view.iter().filter(|m| m.owns()).copied().collect();
+        let me = self.view.me();
+        for (key, target) in self.catalog.targets() {
+            let zone = target.spec.zone;
+            let local = members.iter().filter(|m| m.record.zone == zone);
+            let prober = best_prober(key, local).or_else(|| best_prober(key, members.iter()));
+            let state = &mut self.targets[key.0 as usize];
+            state.probed_here = prober == Some(me) && target.spec.probe.is_some();
+        }
+    }
+
+    pub(super) fn tick_health(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let interval = self.options.load.probe_interval;
+        for (at, state) in self.targets.iter_mut().enumerate() {
+            if !state.probed_here || now < state.next_probe {
+                continue;
+            }
+            state.next_probe = now + interval;
+            let target = TargetKey(at as u32);
+            out.push(Action::ProbeTarget { target });
+        }
+    }
+
+    pub(super) fn probed(&mut self, now: Instant, target: TargetKey, result: ProbeResult) {
+        let Some(state) = self.targets.get_mut(target.0 as usize) else {
+            return;
+        };
+        let spec = &self.catalog.target(target).spec;
+        let mark = self.catalog.target(target).mark;
+        let next = state.judge.probed(
+            now,
+            result,
+            mark,
+            spec.connections,
+            &mut state.passive,
+            &self.options.load,
+        );
+        if next != mark {
+            let version = state.mark_version + 1;
+            self.take_mark(
+                now,
+                MarkUpdate {
+                    target,
+                    version,
+                    mark: next,
+                },
+            );
+        }
+        if let ProbeResult::Healthy(report) = result {
+            self.publish_load(now, target, report);
+        }
+    }
+
+    /// Takes over a mark if it is newer, and passes it on.
+    fn take_mark(&mut self, now: Instant, update: MarkUpdate) {
+        let Some(state) = self.targets.get_mut(update.target.0 as usize) else {
+            return;
+        };
+        let current = MarkUpdate {
+            target: update.target,
+            version: state.mark_version,
+            mark: self.catalog.target(update.target).mark,
+        };
+        if !update.supersedes(&current) {
+            return;
+        }
+        state.mark_version = update.version;
+        state.marked_since = now;
+        if self.catalog.set_mark(update.target, update.mark) {
+            self.refresh_ambiguous_slots();
+        }
+        let sends = self.news_transmissions();
+        self.mark_news.insert(update.target, (update, sends));
+    }
+
+    pub(super) fn hear_marks(&mut self, now: Instant, marks: &[MarkUpdate]) {
+        for update in marks {
+            self.take_mark(now, *update);
+        }
+    }
+
+    pub(super) fn take_mark_news(&mut self, most: usize) -> Vec<MarkUpdate> {
+        let news: Vec<MarkUpdate> = self.mark_news.values().take(most).map(|n| n.0).collect();
+        for update in &news {
+            self.mark_news[&update.target].1 -= 1;
+        }
+        self.mark_news.retain(|_, n| n.1 > 0);
+        news
+    }
+
+    /// Returns how often a piece of news is sent.
+    pub(super) fn news_transmissions(&self) -> u32 {
+        let members = self.view.len();
+        2 * (usize::BITS - members.leading_zeros())
+    }
+
+    /// Returns whether a mark is known for long enough that every reachable
+    /// member has heard it.
+    pub(super) fn mark_is_settled(&self, now: Instant, target: TargetKey) -> bool {
+        let state = &self.targets[target.0 as usize];
+        now.since(state.marked_since) >= self.options.load.settle
+    }
+
+    /// Returns whether a ramping target takes this flow: its part of the
+    /// flows grows with the time since its mark.
+    pub(super) fn ramp_admits(
+        &self,
+        now: Instant,
+        arrival: &super::placing::Arrival,
+        target: TargetKey,
+    ) -> bool {
+        let state = &self.targets[target.0 as usize];
+        let ramp = self.options.load.ramp.as_micros().max(1);
+        let passed = now.since(state.marked_since).as_micros();
+        let part = (RAMP_PARTS * passed / ramp).max(RAMP_PARTS / 10);
+        hash::mix(arrival.hash, 3) % RAMP_PARTS < part
+    }
+
+    pub(super) fn observe_answer(&mut self, now: Instant, info: &PacketInfo, target: TargetKey) {
+        let opens = matches!(info.kind, PacketKind::OpeningAnswer | PacketKind::Datagram);
+        if opens {
+            self.targets[target.0 as usize].passive.answer(now);
+        }
+    }
+
+    /// Returns whether a target answered an opening within a span.
+    pub(super) fn answers_openings(&self, now: Instant, target: TargetKey, span: Duration) -> bool {
+        let state = &self.targets[target.0 as usize];
+        state.passive.answered_within(now, span) && self.catalog.target(target).mark != Mark::Down
+    }
+}
+
+fn best_prober<'a>(key: TargetKey, members: impl Iterator<Item = &'a Member>) -> Option<MemberId> {
+    members
+        .map(|m| m.record.id)
+        .max_by_key(|id| hash::mix(u64::from(id.0), u64::from(key.0) | 1 << 40))
+}
--- /dev/null
+++ b/crates/cicadaweir-core/src/node/members.rs
@@ -0,0 +1,433 @@
+//! Membership: probes, answers, gossip, and this member's own phases.
+
+use indexmap::IndexMap;
+
+use crate::{
+    membership::{Change, Health, ListEntry, MemberUpdate, Phase, Probe},
+    message::{Gossip, Message},
+    prelude::*,
+};
+
+use super::Node;
+
+/// The most records of each sort that ride on one message.
+const MOST_NEWS: usize = 6;
+
+/// The most records in one page of members.
+const MEMBERS_PAGE: usize = 24;
+
+/// How long a newcomer waits for exceptions before it takes its share.
+const JOIN_LIMIT: Duration = Duration::from_secs(3);
+
+/// Another member's request to probe a third.
+#[derive(Debug, Clone, Copy)]
+struct Errand {
+    requester: MemberId,
+    sequence: u32,
+    since: Instant,
+}
+
+/// What a node keeps about its dealings with the other members.
+#[derive(Debug, Default)]
+pub(super) struct Relations {
+    errands: IndexMap<(MemberId, u32), Errand>,
+    errand_sequence: u32,
+    /// Members that take part in the agreement, ascending.
+    pub order: Vec<MemberId>,
+    /// The digest of the view.
+    pub digest: u64,
+    /// Whether the full list of members was asked for.
+    synced: bool,
+    last_heard: Option<Instant>,
+    leave_deadline: Option<Instant>,
+}
+
+impl Node {
+    pub(super) fn message(
+        &mut self,
+        now: Instant,
+        from: MemberId,
+        message: Message,
+        out: &mut Vec<Action>,
+    ) {
+        if self.view.get(from).is_none() && !introduces(from, &message) {
+            self.counters.error(ErrorKind::PeerUnknown);
+            return;
+        }
+        self.relations.last_heard = Some(now);
+        match message {
+            Message::Probe { sequence, gossip } => {
+                self.hear(now, from, gossip, out);
+                let gossip = self.gossip_for(from);
+                let member = self.view.me();
+                self.send(
+                    from,
+                    Message::ProbeAnswer {
+                        member,
+                        sequence,
+                        gossip,
+                    },
+                    out,
+                );
+            }
+            Message::ProbeAnswer {
+                member,
+                sequence,
+                gossip,
+            } => {
+                self.hear(now, from, gossip, out);
+                self.probe_answered(member, sequence, out);
+                self.leave_behind_state(now);
+            }
+            Message::ProbeFor { member, sequence } => {
+                self.run_errand(now, from, member, sequence, out);
+            }
+            Message::MembersWanted { start } => self.send_members(from, start, out),
+            Message::Members {
+                start,
+                members,
+                more,
+            } => self.members_page(now, from, start, &members, more, out),
+            Message::Known { revision } => self.agreement.hear_child(from, revision),
+            Message::NotesWanted { have } => self.send_notes(from, have, out),
+            Message::Notes { notes, agreed } => self.notes_from_peer(now, notes, agreed, out),
+            Message::ExceptionsWanted { slots } => self.serve_exceptions(now, from, slots),
+            Message::Exceptions { flows, last } => self.take_exceptions(now, from, flows, last),
+            Message::Lookup { flow_hash } => self.answer_lookup(now, from, flow_hash, out),
+            Message::LookupAnswer { flow_hash, memory } => {
+                self.lookup_answered(now, from, flow_hash, memory, out);
+            }
+        }
+    }
+
+    pub(super) fn send(&mut self, to: MemberId, message: Message, out: &mut Vec<Action>) {
+        self.counters.message(message.kind());
+        out.push(Action::Send { to, message });
+    }
+
+    /// Builds the news for a message to a member. A member that is taken for
+    /// suspect or dead is told so, so that it can refute.
+    fn gossip_for(&mut self, to: MemberId) -> Gossip {
+        let mut members = vec![*self.view.my_record()];
+        if let Some(member) = self.view.get(to) {
+            if member.record.health != Health::Alive {
+                members.push(member.record);
+            }
+        }
+        members.extend(self.dissemination.take(MOST_NEWS));
+        Gossip {
+            known: self.agreement.known(),
+            agreed: self.agreement.agreed(),
+            view: self.relations.digest,
+            members,
+            marks: self.take_mark_news(MOST_NEWS),
+            loads: self.take_load_news(MOST_NEWS),
+        }
+    }
+
+    fn hear(&mut self, now: Instant, from: MemberId, gossip: Gossip, out: &mut Vec<Action>) {
+        let mut changed = false;
+        for update in &gossip.members {
+            changed |= self.merge(now, update);
+        }
+        if changed {
+            self.refresh_members(now);
+        }
+        if self.view.take_declared_dead() {
+            self.rejoin(now);
+        }
+        self.hear_marks(now, &gossip.marks);
+        self.hear_loads(now, &gossip.loads);
+        if gossip.known > self.agreement.known() {
+            self.want_notes(now, from, out);
+        }
+        if self.agreement.hear_agreed(gossip.agreed) {
+            self.came_into_force(now, out);
+        }
+        if !self.relations.synced {
+            self.relations.synced = true;
+            self.send(from, Message::MembersWanted { start: 0 }, out);
+        }
+    }
+
+    /// Merges one record; returns whether the view changed.
+    fn merge(&mut self, now: Instant, update: &MemberUpdate) -> bool {
+        match self.view.merge(update, now) {
+            Change::None => false,
+            Change::News => {
+                self.dissemination.push(*update, self.view.len());
+                true
+            }
+            Change::Refuted => {
+                let me = *self.view.my_record();
+                self.dissemination.push(me, self.view.len());
+                true
+            }
+        }
+    }
+
+    fn probe_answered(&mut self, member: MemberId, sequence: u32, out: &mut Vec<Action>) {
+        self.detector.answered(member, sequence);
+        let Some(errand) = self.relations.errands.swap_remove(&(member, sequence)) else {
+            return;
+        };
+        let gossip = self.gossip_for(errand.requester);
+        let answer = Message::ProbeAnswer {
+            member,
+            sequence: errand.sequence,
+            gossip,
+        };
+        self.send(errand.requester, answer, out);
+    }
+
+    /// Probes a third member for another one. Sequence numbers of errands
+    /// have the top bit, so that they never meet the detector's own.
+    fn run_errand(
+        &mut self,
+        now: Instant,
+        requester: MemberId,
+        member: MemberId,
+        sequence: u32,
+        out: &mut Vec<Action>,
+    ) {
+        let relations = &mut self.relations;
+        relations.errand_sequence = relations.errand_sequence.wrapping_add(1);
+        let own = relations.errand_sequence | 1 << 31;
+        let errand = Errand {
+            requester,
+            sequence,
+            since: now,
+        };
+        relations.errands.insert((member, own), errand);
+        let gossip = self.gossip_for(member);
+        let probe = Message::Probe {
+            sequence: own,
+            gossip,
+        };
+        self.send(member, probe, out);
+    }
+
+    fn send_members(&mut self, to: MemberId, start: u32, out: &mut Vec<Action>) {
+        let known = |m: &&crate::membership::Member| m.record.incarnation > 0;
+        let mut rest = self.view.iter().filter(known).skip(start as usize);
+        let members: Vec<MemberUpdate> =
+            rest.by_ref().take(MEMBERS_PAGE).map(|m| m.record).collect();
+        let more = rest.next().is_some();
+        drop(rest);
+        let page = Message::Members {
+            start,
+            members,
+            more,
+        };
+        self.send(to, page, out);
+    }
+
+    fn members_page(
+        &mut self,
+        now: Instant,
+        from: MemberId,
+        start: u32,
+        members: &[MemberUpdate],
+        more: bool,
+        out: &mut Vec<Action>,
+    ) {
+        for update in members {
+            self.view.merge(update, now);
+        }
+        self.refresh_members(now);
+        if more {
+            let start = start + members.len() as u32;
+            self.send(from, Message::MembersWanted { start }, out);
+        }
+    }
+
+    pub(super) fn list(&mut self, now: Instant, list: &[ListEntry]) {
+        self.view.apply_list(list, now);
+        self.refresh_members(now);
+    }
+
+    pub(super) fn tick_members(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let news = self.detector.judge(now, &mut self.view);
+        for update in &news {
+            self.dissemination.push(*update, self.view.len());
+        }
+        if !news.is_empty() {
+            self.refresh_members(now);
+        }
+        if let Some(probe) = self.detector.start_probe(now, &self.view) {
+            let gossip = self.gossip_for(probe.member);
+            let sequence = probe.sequence;
+            self.send(probe.member, Message::Probe { sequence, gossip }, out);
+        }
+        for (probe, helpers) in self.detector.indirect_probes(now, &self.view) {
+            self.ask_helpers(&probe, &helpers, out);
+        }
+        let period = self.options.membership.period;
+        self.relations
+            .errands
+            .retain(|_, e| now.since(e.since) < period);
+        self.view.forget(now, self.options.membership.tombstone);
+        self.end_isolation(now);
+        self.advance_phase(now, out);
+        self.update_watch(out);
+    }
+
+    fn ask_helpers(&mut self, probe: &Probe, helpers: &[MemberId], out: &mut Vec<Action>) {
+        for &helper in helpers {
+            let errand = Message::ProbeFor {
+                member: probe.member,
+                sequence: probe.sequence,
+            };
+            self.send(helper, errand, out);
+        }
+    }
+
+    /// Recomputes everything that follows from the view.
+    pub(super) fn refresh_members(&mut self, now: Instant) {
+        let owners = self.view.iter().filter(|m| m.owns());
+        let owners: Vec<MemberId> = owners.map(|m| m.record.id).collect();
+        let lost = self
+            .recovery
+            .update_owners(&mut self.slots, &owners, self.view.me());
+        let me = self.view.me();
+        let joining = self.phase() == Phase::Joining;
+        let stays = self.view.iter().filter(|m| m.stays());
+        let mut next: Vec<MemberId> = stays.map(|m| m.record.id).collect();
+        if joining && !self.relations.is_cut_off(self.behind_since) {
+            next.push(me);
+        }
+        self.recovery.update_next(&next);
+        self.relations.order = self
+            .view
+            .iter()
+            .filter(|m| m.reachable() && m.record.incarnation > 0)
+            .map(|m| m.record.id)
+            .collect();
+        self.relations.order.sort_unstable();
+        self.relations.digest = self.view.digest();
+        self.acquire(now, lost);
+        self.refresh_probing();
+    }
+
+    /// After a pause, what this member knows may be old: it chooses nothing
+    /// until another member has answered.
+    pub(super) fn resume_after_pause(&mut self, now: Instant) {
+        self.behind_since = Some(now);
+        self.detector.forget_open_probes();
+    }
+
+    fn leave_behind_state(&mut self, now: Instant) {
+        let current = self.notes_asked.is_none();
+        if self.behind_since.is_some() && current {
+            self.behind_since = None;
+            self.refresh_members(now);
+        }
+    }
+
+    /// An entry VM that nobody answers serves by what it knows.
+    fn end_isolation(&mut self, now: Instant) {
+        let Some(since) = self.behind_since else {
+            return;
+        };
+        let alone = self.view.peers().next().is_none();
+        let waited = now.since(since) >= self.options.isolation;
+        let has_catalog = self.catalog.revision() > Revision::default();
+        if has_catalog && (waited || alone) {
+            self.behind_since = None;
+            self.refresh_members(now);
+        }
+    }
+
+    /// Starts over as a joining member after the others had taken this one
+    /// for dead: its buckets have other owners now.
+    fn rejoin(&mut self, now: Instant) {
+        if matches!(self.phase(), Phase::Active | Phase::Joining) {
+            self.started = now;
+            self.set_phase(now, Phase::Joining);
+        }
+    }
+
+    fn set_phase(&mut self, now: Instant, phase: Phase) {
+        let record = self.view.set_phase(phase);
+        self.dissemination.push(record, self.view.len());
+        self.refresh_members(now);
+    }
+
+    fn advance_phase(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let next = match self.phase() {
+            Phase::Joining if self.may_activate(now) => Phase::Active,
+            Phase::Leaving if self.may_leave(now) => Phase::Left,
+            _ => return,
+        };
+        self.set_phase(now, next);
+        out.push(Action::EnteredPhase { phase: next });
+    }
+
+    fn may_activate(&self, now: Instant) -> bool {
+        if self.behind_since.is_some() || self.catalog.revision() == Revision::default() {
+            return false;
+        }
+        !self.recovery.is_fetching() || now.since(self.started) >= JOIN_LIMIT
+    }
+
+    fn may_leave(&self, now: Instant) -> bool {
+        let Some(deadline) = self.relations.leave_deadline else {
+            return false;
+        };
+        let announced = now + self.options.leave_limit >= deadline + LEAVE_ANNOUNCE;
+        now >= deadline || (announced && self.successors_are_served())
+    }
+
+    pub(super) fn leave(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if matches!(self.phase(), Phase::Leaving | Phase::Left) {
+            return;
+        }
+        self.relations.leave_deadline = Some(now + self.options.leave_limit);
+        self.set_phase(now, Phase::Leaving);
+        out.push(Action::EnteredPhase {
+            phase: Phase::Leaving,
+        });
+    }
+
+    /// Decides whether this member is among the few of its zone that watch
+    /// the store.
+    fn update_watch(&mut self, out: &mut Vec<Action>) {
+        let on = self.watches();
+        if on != self.watching {
+            self.watching = on;
+            out.push(Action::WatchStore { on });
+        }
+    }
+
+    fn watches(&self) -> bool {
+        let me = self.view.my_record();
+        let before_me = self
+            .view
+            .peers()
+            .filter(|m| m.record.zone == me.zone && m.record.incarnation > 0)
+            .filter(|m| m.record.health == Health::Alive && m.record.id < me.id)
+            .count();
+        before_me < self.options.watchers_per_zone
+    }
+}
+
+/// How long a planned stop is known before ownership may move.
+const LEAVE_ANNOUNCE: Duration = Duration::from_millis(1_000);
+
+impl Relations {
+    /// Returns whether this member has not heard the others since it became
+    /// behind.
+    fn is_cut_off(&self, behind_since: Option<Instant>) -> bool {
+        behind_since.is_some_and(|since| self.last_heard.is_none_or(|heard| heard < since))
+    }
+}
+
+/// Returns whether a message of an unknown member introduces its sender.
+fn introduces(from: MemberId, message: &Message) -> bool {
+    match message {
+        Message::Probe { gossip, .. } | Message::ProbeAnswer { gossip, .. } => {
+            gossip.members.iter().any(|m| m.id == from)
+        }
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/cicadaweir-core/src/node/notes.rs
@@ -0,0 +1,172 @@
+//! Release notes: from the store, from other members, into force.
+
+use std::sync::Arc;
+
+use crate::{catalog::ReleaseNote, membership::MemberId, message::Message, prelude::*};
+
+use super::Node;
+
+/// The most release notes in one message.
+const MOST_NOTES: usize = 16;
+
+/// How long an unanswered request for notes stands.
+const NOTES_PATIENCE: Duration = Duration::from_millis(300);
+
+impl Node {
+    /// Takes a note that the driver read from the store. Notes that are out
+    /// of order are ignored; the driver reads them again from
+    /// [`Node::known_revision`] on.
+    pub(super) fn note_from_store(
+        &mut self,
+        now: Instant,
+        note: Arc<ReleaseNote>,
+        out: &mut Vec<Action>,
+    ) {
+        if note.revision == self.catalog.revision().next() {
+            self.apply_note(now, note);
+            self.tick_agreement(now, out);
+        }
+    }
+
+    /// Returns the newest revision that this member knows.
+    pub const fn known_revision(&self) -> Revision {
+        self.catalog.revision()
+    }
+
+    fn apply_note(&mut self, now: Instant, note: Arc<ReleaseNote>) {
+        if self.catalog.apply(&note).is_err() {
+            self.counters.error(ErrorKind::NoteInvalid);
+            return;
+        }
+        self.agreement.learn(note.revision, now);
+        self.retire_by_age(now, &note);
+        self.notes.push(note);
+        self.catalog_changed(now);
+    }
+
+    /// A newcomer reads old notes: generations that ended long ago are not
+    /// live any more.
+    fn retire_by_age(&mut self, now: Instant, note: &ReleaseNote) {
+        let age = Duration::from_millis(self.wall_clock_ms(now).saturating_sub(note.published_ms));
+        if age <= self.options.expiry.established {
+            return;
+        }
+        let unsettled: Vec<ServiceKey> = self.catalog.unsettled().collect();
+        for key in unsettled {
+            self.catalog.retire_generations(key, |_| true);
+        }
+    }
+
+    /// Returns the milliseconds since 1970, by the first incarnation.
+    fn wall_clock_ms(&self, now: Instant) -> u64 {
+        self.start_ms + now.since(self.created).as_millis()
+    }
+
+    pub(super) fn want_notes(&mut self, now: Instant, from: MemberId, out: &mut Vec<Action>) {
+        let patient = |at: Instant| now.since(at) < NOTES_PATIENCE;
+        if self.notes_asked.is_some_and(patient) {
+            return;
+        }
+        self.notes_asked = Some(now);
+        let have = self.catalog.revision();
+        self.send(from, Message::NotesWanted { have }, out);
+    }
+
+    pub(super) fn send_notes(&mut self, to: MemberId, have: Revision, out: &mut Vec<Action>) {
+        let first = self.notes.partition_point(|n| n.revision <= have);
+        let notes: Vec<_> = self.notes[first..]
+            .iter()
+            .take(MOST_NOTES)
+            .cloned()
+            .collect();
+        let agreed = self.agreement.agreed();
+        self.send(to, Message::Notes { notes, agreed }, out);
+    }
+
+    pub(super) fn notes_from_peer(
+        &mut self,
+        now: Instant,
+        notes: Vec<Arc<ReleaseNote>>,
+        agreed: Revision,
+        out: &mut Vec<Action>,
+    ) {
+        self.notes_asked = None;
+        for note in notes {
+            if note.revision == self.catalog.revision().next() {
+                self.apply_note(now, note);
+            }
+        }
+        if self.agreement.hear_agreed(agreed) {
+            self.came_into_force(now, out);
+        }
+        self.tick_agreement(now, out);
+    }
+
+    pub(super) fn tick_agreement(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let me = self.view.me();
+        let order = std::mem::take(&mut self.relations.order);
+        let (report, changed) = self.agreement.tick(now, me, &order);
+        self.relations.order = order;
+        if let Some(report) = report {
+            let revision = report.known;
+            self.send(report.to, Message::Known { revision }, out);
+        }
+        if changed {
+            self.came_into_force(now, out);
+        }
+    }
+
+    pub(super) fn came_into_force(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let revision = self.agreement.agreed();
+        self.catalog.supersede(revision, now);
+        out.push(Action::InForce { revision });
+    }
+
+    /// Ends generations that no open flow can be in: superseded for longer
+    /// than a quiet flow is remembered, and not needed by a remembered one.
+    pub(super) fn tick_notes(&mut self, now: Instant, _out: &mut Vec<Action>) {
+        let expired = |at: Instant| now.since(at) >= NOTES_PATIENCE;
+        if self.notes_asked.is_some_and(expired) {
+            self.notes_asked = None;
+        }
+        if now.as_micros() % RETIRE_INTERVAL.as_micros() >= super::TICK.as_micros() {
+            return;
+        }
+        let limit = self.options.expiry.established;
+        let unsettled: Vec<ServiceKey> = self.catalog.unsettled().collect();
+        for key in unsettled {
+            let over = self.catalog.service(key).base();
+            let quiet = Catalog::superseded_for(over, now) >= limit;
+            if quiet && !self.base_is_used(key) {
+                let mut first = true;
+                self.catalog
+                    .retire_generations(key, |_| std::mem::take(&mut first));
+                self.catalog_changed(now);
+            }
+        }
+    }
+
+    /// Returns whether a remembered flow is on a target that its bucket has
+    /// in the oldest generation only.
+    fn base_is_used(&self, key: ServiceKey) -> bool {
+        let service = self.catalog.service(key);
+        let [base, next, ..] = service.generations.as_slice() else {
+            return false;
+        };
+        self.flows.iter().any(|entry| {
+            let bucket = crate::placement::bucket(entry.flow_hash());
+            service.addresses.contains(&entry.address())
+                && entry.target == base.target(bucket)
+                && entry.target != next.target(bucket)
+        })
+    }
+
+    fn catalog_changed(&mut self, now: Instant) {
+        self.grow_targets(now);
+        self.refresh_ambiguous_slots();
+        self.refresh_probing();
+    }
+}
+
+/// The time between two looks for generations that have ended.
+const RETIRE_INTERVAL: Duration = Duration::from_secs(10);
--- /dev/null
+++ b/crates/cicadaweir-core/src/node/packets.rs
@@ -0,0 +1,291 @@
+//! Packets: from callers, from other entry VMs, from targets.
+
+use crate::{
+    flow::{FlowEntry, FlowFlags, FlowState, FlowTable},
+    hash, placement,
+    prelude::*,
+    route::{Decision, MOST_HOPS, Outlook, Reason, RelayHeader},
+};
+
+use super::{Node, placing::Arrival};
+
+/// How long after its last packet an open flow's opening counts as a
+/// repetition and not as a new flow on the same port.
+const REPETITION: Duration = Duration::from_secs(3);
+
+impl Node {
+    pub(super) fn caller_packet(
+        &mut self,
+        now: Instant,
+        packet: PacketRef,
+        info: &PacketInfo,
+        header: Option<RelayHeader>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some((address, service)) = self.catalog.lookup(&info.flow) else {
+            let kind = self.kind_without_service();
+            return self.discard(packet, kind, out);
+        };
+        let hash = hash::flow(&self.hash_key, &info.flow);
+        let arrival = Arrival {
+            address,
+            service,
+            hash,
+            bucket: placement::bucket(hash),
+        };
+        if self.is_broken(info, &arrival) {
+            out.push(Action::ResetCaller { packet });
+            return;
+        }
+        match self.decide(now, info, &arrival, header.as_ref()) {
+            Decision::Target(target, reason) => {
+                self.remember(now, info, &arrival, target, reason);
+                self.forward(packet, target, reason, out);
+            }
+            Decision::Owner(to) => self.relay(packet, to, header, out),
+            Decision::Ask => self.ask(now, packet, info, &arrival, out),
+            Decision::Error(kind) => self.reject(packet, info, kind, out),
+        }
+    }
+
+    /// Returns whether the flow's target went silent; a new opening on the
+    /// same port starts afresh.
+    fn is_broken(&mut self, info: &PacketInfo, arrival: &Arrival) -> bool {
+        let caller = &info.flow.caller;
+        let entry = self.flows.get(arrival.hash, caller, arrival.address);
+        let broken = entry.is_some_and(|e| e.flags.contains(FlowFlags::BROKEN));
+        if broken && info.kind == PacketKind::Opening {
+            self.flows.remove(arrival.hash, caller, arrival.address);
+            return false;
+        }
+        broken
+    }
+
+    /// Without any catalog this entry VM cannot say that nobody has the
+    /// address.
+    fn kind_without_service(&self) -> ErrorKind {
+        if self.catalog.revision() == Revision::default() {
+            ErrorKind::Behind
+        } else {
+            ErrorKind::AddressUnknown
+        }
+    }
+
+    pub(super) fn decide(
+        &mut self,
+        now: Instant,
+        info: &PacketInfo,
+        arrival: &Arrival,
+        header: Option<&RelayHeader>,
+    ) -> Decision {
+        if let Some(target) = self.remembered(now, info, arrival) {
+            return Decision::Target(target, Reason::Remembered);
+        }
+        if self.options.policy != crate::route::Policy::Owned {
+            return self.place_by_baseline(now, arrival);
+        }
+        let service = self.catalog.service(arrival.service);
+        let outlook = Outlook::new(
+            service,
+            arrival.bucket,
+            self.agreement.agreed(),
+            &self.slots,
+        );
+        let opening = info.kind == PacketKind::Opening;
+        if !opening {
+            if let Some(target) = self.recovery.handed_over(arrival.hash) {
+                return Decision::Target(target, Reason::HandedOver);
+            }
+        }
+        if self.behind_since.is_some() {
+            return Decision::Error(ErrorKind::Behind);
+        }
+        if !outlook.ambiguous {
+            return self.place_unambiguous(now, info, arrival, outlook.base);
+        }
+        if outlook.owner != Some(self.view.me()) {
+            return Self::relay_decision(&outlook, header);
+        }
+        if header.is_some_and(|h| h.known > self.agreement.known()) {
+            return Decision::Error(ErrorKind::Behind);
+        }
+        self.decide_as_owner(now, info, arrival, &outlook)
+    }
+
+    fn relay_decision(outlook: &Outlook, header: Option<&RelayHeader>) -> Decision {
+        match outlook.owner {
+            None => Decision::Error(ErrorKind::Behind),
+            Some(_) if header.is_some_and(|h| h.hops >= MOST_HOPS) => {
+                Decision::Error(ErrorKind::RelayHops)
+            }
+            Some(owner) => Decision::Owner(owner),
+        }
+    }
+
+    /// Looks the flow up; an opening on a port whose last flow has ended, or
+    /// has long been quiet, is a new flow.
+    fn remembered(
+        &mut self,
+        now: Instant,
+        info: &PacketInfo,
+        arrival: &Arrival,
+    ) -> Option<TargetKey> {
+        let caller = &info.flow.caller;
+        let entry = self.flows.get_mut(arrival.hash, caller, arrival.address)?;
+        if info.kind == PacketKind::Opening && !is_repetition(entry, now) {
+            self.flows.remove(arrival.hash, caller, arrival.address);
+            return None;
+        }
+        FlowTable::touch(entry, now, info.kind, Direction::ToTarget);
+        Some(entry.target)
+    }
+
+    /// Remembers a flow's target after a decision.
+    pub(super) fn remember(
+        &mut self,
+        now: Instant,
+        info: &PacketInfo,
+        arrival: &Arrival,
+        target: TargetKey,
+        reason: Reason,
+    ) {
+        if reason == Reason::Remembered {
+            return;
+        }
+        let mut flags = FlowFlags::default();
+        if matches!(reason, Reason::Placed | Reason::Deviated) {
+            flags.insert(FlowFlags::PLACED_HERE);
+        }
+        let state = FlowState::first(info.kind);
+        let caller = &info.flow.caller;
+        // A full table costs an unambiguous flow nothing; the owner has made
+        // sure of room before it placed a flow.
+        let _ = self.flows.insert(
+            now,
+            arrival.hash,
+            caller,
+            arrival.address,
+            target,
+            state,
+            flags,
+        );
+    }
+
+    pub(super) fn forward(
+        &mut self,
+        packet: PacketRef,
+        target: TargetKey,
+        reason: Reason,
+        out: &mut Vec<Action>,
+    ) {
+        self.counters.forward(reason);
+        out.push(Action::Forward { packet, target });
+    }
+
+    fn relay(
+        &mut self,
+        packet: PacketRef,
+        to: MemberId,
+        header: Option<RelayHeader>,
+        out: &mut Vec<Action>,
+    ) {
+        self.counters.relayed += 1;
+        let header = RelayHeader {
+            from: self.view.me(),
+            view: self.relations.digest,
+            known: self.agreement.known(),
+            hops: header.map_or(0, |h| h.hops) + 1,
+        };
+        out.push(Action::Relay { packet, to, header });
+    }
+
+    pub(super) fn discard(&mut self, packet: PacketRef, kind: ErrorKind, out: &mut Vec<Action>) {
+        self.counters.error(kind);
+        out.push(Action::Discard { packet, kind });
+    }
+
+    /// Refuses an opening, or discards anything else: a refusal is sent only
+    /// where no packet of the flow was delivered.
+    fn reject(
+        &mut self,
+        packet: PacketRef,
+        info: &PacketInfo,
+        kind: ErrorKind,
+        out: &mut Vec<Action>,
+    ) {
+        let refuses = kind.answer() == crate::error::Answer::Refuse;
+        if refuses && info.kind == PacketKind::Opening {
+            self.counters.error(kind);
+            out.push(Action::Refuse { packet, kind });
+        } else {
+            self.discard(packet, kind, out);
+        }
+    }
+
+    /// Hands an answer on, and learns from it: the target that answers for a
+    /// flow is the flow's target for certain.
+    pub(super) fn target_packet(
+        &mut self,
+        now: Instant,
+        packet: PacketRef,
+        info: &PacketInfo,
+        from: &Endpoint,
+        out: &mut Vec<Action>,
+    ) {
+        let Some((address, service)) = self.catalog.lookup(&info.flow) else {
+            return self.discard(packet, ErrorKind::AddressUnknown, out);
+        };
+        let Some(target) = self.catalog.target_at(service, from) else {
+            return self.discard(packet, ErrorKind::AnswerFromStranger, out);
+        };
+        self.observe_answer(now, info, target);
+        let hash = hash::flow(&self.hash_key, &info.flow);
+        if !self.learn(now, info, address, hash, target) {
+            return self.discard(packet, ErrorKind::AnswerFromStranger, out);
+        }
+        self.counters.to_callers += 1;
+        out.push(Action::ToCaller { packet });
+    }
+
+    /// Records an answer; returns whether it may be handed on. A reset of a
+    /// target that is not the flow's own must not reach the caller.
+    fn learn(
+        &mut self,
+        now: Instant,
+        info: &PacketInfo,
+        address: AddressKey,
+        hash: u64,
+        target: TargetKey,
+    ) -> bool {
+        let caller = &info.flow.caller;
+        let Some(entry) = self.flows.get_mut(hash, caller, address) else {
+            if info.kind != PacketKind::Reset {
+                let state = FlowState::first(info.kind);
+                let flags = FlowFlags::ANSWERED;
+                let _ = self
+                    .flows
+                    .insert(now, hash, caller, address, target, state, flags);
+            }
+            return true;
+        };
+        if entry.target != target {
+            if info.kind == PacketKind::Reset {
+                return false;
+            }
+            entry.target = target;
+            entry.state = FlowState::first(info.kind);
+        }
+        FlowTable::touch(entry, now, info.kind, Direction::ToCaller);
+        true
+    }
+}
+
+fn is_repetition(entry: &FlowEntry, now: Instant) -> bool {
+    match entry.state {
+        FlowState::Opening => true,
+        FlowState::Closed => false,
+        FlowState::Established | FlowState::HalfClosed | FlowState::Datagram => {
+            FlowTable::idle(entry, now) < REPETITION
+        }
+    }
+}
--- /dev/null
+++ b/crates/cicadaweir-core/src/node/placing.rs
@@ -0,0 +1,159 @@
+//! Choosing a target for a packet of a flow that is not remembered.
+
+use crate::{
+    flow::Protocol,
+    hash,
+    load::Mark,
+    prelude::*,
+    route::{Decision, Outlook, Policy, Reason},
+};
+
+use super::Node;
+
+/// The parts of an arriving packet's flow that decisions need.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Arrival {
+    pub address: AddressKey,
+    pub service: ServiceKey,
+    pub hash: u64,
+    pub bucket: u16,
+}
+
+impl Node {
+    /// Decides where all live generations agree: openings pass admission,
+    /// everything else goes to the one target that its flow can have.
+    pub(super) fn place_unambiguous(
+        &mut self,
+        now: Instant,
+        info: &PacketInfo,
+        arrival: &Arrival,
+        target: TargetKey,
+    ) -> Decision {
+        if info.kind != PacketKind::Opening {
+            return Decision::Target(target, Reason::Unambiguous);
+        }
+        if let Some(kind) = self.refusal(now, arrival, target) {
+            return Decision::Error(kind);
+        }
+        self.count_placed(target);
+        Decision::Target(target, Reason::Unambiguous)
+    }
+
+    /// Decides for an ambiguous bucket that this entry VM owns.
+    pub(super) fn decide_as_owner(
+        &mut self,
+        now: Instant,
+        info: &PacketInfo,
+        arrival: &Arrival,
+        outlook: &Outlook,
+    ) -> Decision {
+        if info.kind == PacketKind::Opening {
+            return self.place(now, arrival, outlook);
+        }
+        if info.flow.protocol == Protocol::Udp {
+            return Decision::Ask;
+        }
+        if self.recovery.is_incomplete(outlook.slot) {
+            return Decision::Ask;
+        }
+        Decision::Target(outlook.base, Reason::Base)
+    }
+
+    /// Places a new flow of an ambiguous bucket.
+    pub(super) fn place(&mut self, now: Instant, arrival: &Arrival, outlook: &Outlook) -> Decision {
+        if self.flows.len() >= self.options.most_flows {
+            return Decision::Error(ErrorKind::TableFull);
+        }
+        let primary = outlook.in_force;
+        let target = self.choose(now, arrival, primary);
+        let Some(target) = target else {
+            return Decision::Error(ErrorKind::NoTarget);
+        };
+        if let Some(kind) = self.refusal(now, arrival, target) {
+            return Decision::Error(kind);
+        }
+        self.count_placed(target);
+        if target == primary {
+            Decision::Target(target, Reason::Placed)
+        } else {
+            Decision::Target(target, Reason::Deviated)
+        }
+    }
+
+    /// Chooses between a bucket's target and its alternatives by marks.
+    fn choose(&mut self, now: Instant, arrival: &Arrival, primary: TargetKey) -> Option<TargetKey> {
+        let mark = self.catalog.target(primary).mark;
+        match mark {
+            Mark::Normal | Mark::Settled => Some(primary),
+            Mark::Down => self.alternative(arrival, primary),
+            Mark::Ramping if self.ramp_admits(now, arrival, primary) => Some(primary),
+            Mark::Hot if !self.mark_is_settled(now, primary) => Some(primary),
+            Mark::Ramping | Mark::Hot => self.less_full(arrival, primary),
+        }
+    }
+
+    fn less_full(&self, arrival: &Arrival, primary: TargetKey) -> Option<TargetKey> {
+        let Some(other) = self.alternative(arrival, primary) else {
+            return Some(primary);
+        };
+        if self.fullness(other) < self.fullness(primary) {
+            Some(other)
+        } else {
+            Some(primary)
+        }
+    }
+
+    /// Returns the less full of the two best-ranked other targets that take
+    /// new work; ranks differ from flow to flow, so that no single target
+    /// takes all that another one loses.
+    fn alternative(&self, arrival: &Arrival, primary: TargetKey) -> Option<TargetKey> {
+        let service = self.catalog.service(arrival.service);
+        let generation = service.in_force(self.agreement.agreed());
+        let rank = |t: TargetKey| hash::mix(arrival.hash, u64::from(t.0));
+        let mut best: [Option<TargetKey>; 2] = [None, None];
+        for &(target, _) in &generation.targets {
+            if target == primary || self.catalog.target(target).mark == Mark::Down {
+                continue;
+            }
+            if best[0].is_none_or(|b| rank(target) > rank(b)) {
+                best = [Some(target), best[0]];
+            } else if best[1].is_none_or(|b| rank(target) > rank(b)) {
+                best[1] = Some(target);
+            }
+        }
+        match best {
+            [Some(a), Some(b)] if self.fullness(b) < self.fullness(a) => Some(b),
+            [first, _] => first,
+        }
+    }
+
+    /// Returns why an opening is refused, if it is.
+    fn refusal(&self, now: Instant, arrival: &Arrival, target: TargetKey) -> Option<ErrorKind> {
+        let service = self.catalog.service(arrival.service);
+        let agreed = self.agreement.agreed();
+        if service.withdrawn.is_some_and(|at| at <= agreed) {
+            return Some(ErrorKind::NoTarget);
+        }
+        if self.options.load.refuse && !self.admits(now, target) {
+            return Some(ErrorKind::Overloaded);
+        }
+        None
+    }
+
+    /// Places a flow as one of the baselines would.
+    pub(super) fn place_by_baseline(&mut self, now: Instant, arrival: &Arrival) -> Decision {
+        let service = self.catalog.service(arrival.service);
+        let generation = service.in_force(self.agreement.agreed());
+        let targets = &generation.targets;
+        let target = match self.options.policy {
+            Policy::Owned | Policy::RendezvousAlone => generation.target(arrival.bucket),
+            Policy::Modulo => targets[arrival.hash as usize % targets.len()].0,
+            Policy::LeastReported => targets
+                .iter()
+                .map(|t| t.0)
+                .min_by_key(|&t| self.reported_open(now, t))
+                .unwrap_or(targets[0].0),
+        };
+        Decision::Target(target, Reason::Placed)
+    }
+}
--- /dev/null
+++ b/crates/cicadaweir-core/src/node/recovery.rs
@@ -0,0 +1,359 @@
+//! Exceptions: fetched before and after ownership of a slot moves.
+//!
+//! The owner of a slot records every flow that it places away from the base
+//! generation. A member that is about to own a slot, because it joins or
+//! because the owner leaves, fetches these exceptions beforehand; once it owns
+//! the slot it fetches again, from the last owner if that one answers, or
+//! else from the others, which remember what they forwarded. Until then the
+//! slot is incomplete, and a packet of an unknown flow is not guessed.
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::{
+    flow::{FlowEntry, FlowState},
+    membership::{SLOTS, SlotTable, slot_of},
+    message::{FlowException, Message},
+    placement,
+    prelude::*,
+};
+
+use super::Node;
+
+/// The most exceptions in one message.
+const MOST_EXCEPTIONS: usize = 80;
+
+/// The size of one exception on the wire, in bytes.
+const EXCEPTION_BYTES: u32 = 16;
+
+/// Positions of the flow table that one tick of one transfer examines.
+const WALK: usize = 16_384;
+
+/// The time between two requests for the same exceptions.
+const FETCH_REPEAT: Duration = Duration::from_millis(1_500);
+
+/// Requests for the same exceptions before they are given up.
+const FETCH_TRIES: u32 = 4;
+
+/// The most members that are asked for what a lost owner recorded.
+const MOST_WITNESSES: usize = 8;
+
+/// Exceptions that are wanted from one member.
+#[derive(Debug, Clone)]
+struct Fetch {
+    slots: IndexSet<u16>,
+    asked: Option<Instant>,
+    tries: u32,
+}
+
+/// Exceptions that are being sent to one member.
+#[derive(Debug, Clone)]
+struct Transfer {
+    to: MemberId,
+    slots: IndexSet<u16>,
+    position: usize,
+    handed_over: usize,
+    pending: Vec<FlowException>,
+}
+
+/// The state of fetching and sending exceptions.
+#[derive(Debug, Default)]
+pub(super) struct Recovery {
+    next: SlotTable,
+    handed: IndexMap<u64, TargetKey>,
+    fetches: IndexMap<MemberId, Fetch>,
+    incomplete: IndexSet<u16>,
+    transfers: Vec<Transfer>,
+    served: IndexSet<MemberId>,
+    ambiguous_slots: IndexSet<u16>,
+    budget: f64,
+    budget_at: Instant,
+}
+
+/// A slot that this member owns now and another one owned before.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Acquired {
+    slot: u16,
+    before: Option<MemberId>,
+}
+
+impl Recovery {
+    /// Returns the target of a flow among the fetched exceptions.
+    pub fn handed_over(&self, flow_hash: u64) -> Option<TargetKey> {
+        self.handed.get(&flow_hash).copied()
+    }
+
+    /// Returns whether exceptions of a slot may be missing here.
+    pub fn is_incomplete(&self, slot: u16) -> bool {
+        self.incomplete.contains(&slot)
+    }
+
+    /// Returns whether exceptions are still being fetched.
+    pub fn is_fetching(&self) -> bool {
+        !self.fetches.is_empty()
+    }
+
+    /// Brings the owners up to date; returns the slots that came to `me`.
+    pub fn update_owners(
+        &mut self,
+        slots: &mut SlotTable,
+        owners: &[MemberId],
+        me: MemberId,
+    ) -> Vec<Acquired> {
+        let before: Vec<Option<MemberId>> = (0..SLOTS as u16).map(|s| slots.owner(s)).collect();
+        if !slots.update(owners.iter().copied()) {
+            return Vec::new();
+        }
+        (0..SLOTS as u16)
+            .filter(|&s| slots.owner(s) == Some(me) && before[usize::from(s)] != Some(me))
+            .map(|slot| Acquired {
+                slot,
+                before: before[usize::from(slot)],
+            })
+            .collect()
+    }
+
+    /// Brings the future owners up to date.
+    pub fn update_next(&mut self, owners: &[MemberId]) {
+        self.next.update(owners.iter().copied());
+    }
+
+    fn fetch(&mut self, from: MemberId, slot: u16) {
+        let fetch = self.fetches.entry(from).or_insert(Fetch {
+            slots: IndexSet::new(),
+            asked: None,
+            tries: 0,
+        });
+        if fetch.slots.insert(slot) {
+            fetch.asked = None;
+        }
+    }
+
+    /// Ends a fetch; slots that nobody is asked for any more are complete.
+    fn end_fetch(&mut self, from: MemberId) {
+        if self.fetches.swap_remove(&from).is_none() {
+            return;
+        }
+        let fetches = &self.fetches;
+        let wanted = |slot: &u16| fetches.values().any(|f| f.slots.contains(slot));
+        self.incomplete.retain(wanted);
+    }
+}
+
+impl Node {
+    /// Fetches what is missing for slots that came to this member, and what
+    /// will be missing for slots that are about to come.
+    pub(super) fn acquire(&mut self, now: Instant, acquired: Vec<Acquired>) {
+        let me = self.view.me();
+        for Acquired { slot, before } in acquired {
+            if !self.recovery.ambiguous_slots.contains(&slot) {
+                continue;
+            }
+            let sources = self.sources(before);
+            if !sources.is_empty() {
+                self.recovery.incomplete.insert(slot);
+            }
+            for from in sources {
+                self.recovery.fetch(from, slot);
+            }
+        }
+        let ambiguous = std::mem::take(&mut self.recovery.ambiguous_slots);
+        for &slot in &ambiguous {
+            let owner = self.slots.owner(slot);
+            let comes = self.recovery.next.owner(slot) == Some(me) && owner != Some(me);
+            if let (true, Some(owner)) = (comes, owner) {
+                self.prefetch(now, owner, slot);
+            }
+        }
+        self.recovery.ambiguous_slots = ambiguous;
+    }
+
+    fn prefetch(&mut self, _now: Instant, owner: MemberId, slot: u16) {
+        if self.view.get(owner).is_some_and(|m| m.reachable()) {
+            self.recovery.fetch(owner, slot);
+        }
+    }
+
+    /// Returns whom to ask for the exceptions of a slot: its last owner, or
+    /// if that one is gone, those who may have forwarded its flows.
+    fn sources(&self, before: Option<MemberId>) -> Vec<MemberId> {
+        let known = before.and_then(|id| self.view.get(id));
+        if let Some(owner) = known.filter(|m| m.reachable()) {
+            return vec![owner.record.id];
+        }
+        let peers = self.view.peers().filter(|m| m.record.incarnation > 0);
+        peers.map(|m| m.record.id).take(MOST_WITNESSES).collect()
+    }
+
+    pub(super) fn tick_recovery(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.refill_budget(now);
+        self.send_fetches(now, out);
+        for at in (0..self.recovery.transfers.len()).rev() {
+            let mut transfer = self.recovery.transfers.swap_remove(at);
+            if !self.advance_transfer(&mut transfer, out) {
+                self.recovery.transfers.push(transfer);
+            }
+        }
+    }
+
+    fn refill_budget(&mut self, now: Instant) {
+        let rate = f64::from(self.options.hand_over_rate);
+        let gained = rate * now.since(self.recovery.budget_at).as_secs_f64();
+        self.recovery.budget = (self.recovery.budget + gained).min(rate);
+        self.recovery.budget_at = now;
+    }
+
+    fn send_fetches(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let mut ended = Vec::new();
+        let mut requests = Vec::new();
+        for (&from, fetch) in &mut self.recovery.fetches {
+            let waiting = |at: Instant| now.since(at) < FETCH_REPEAT;
+            if fetch.asked.is_some_and(waiting) {
+                continue;
+            }
+            let reachable = self.view.get(from).is_some_and(|m| m.reachable());
+            if !reachable || fetch.tries >= FETCH_TRIES {
+                ended.push(from);
+                continue;
+            }
+            fetch.asked = Some(now);
+            fetch.tries += 1;
+            let mut slots: Vec<u16> = fetch.slots.iter().copied().collect();
+            slots.sort_unstable();
+            requests.push((from, slots));
+        }
+        for from in ended {
+            self.recovery.end_fetch(from);
+        }
+        for (to, slots) in requests {
+            self.send(to, Message::ExceptionsWanted { slots }, out);
+        }
+    }
+
+    pub(super) fn serve_exceptions(&mut self, _now: Instant, to: MemberId, slots: Vec<u16>) {
+        self.recovery.transfers.retain(|t| t.to != to);
+        self.recovery.transfers.push(Transfer {
+            to,
+            slots: slots.into_iter().collect(),
+            position: 0,
+            handed_over: 0,
+            pending: Vec::new(),
+        });
+    }
+
+    /// Sends what the budget allows; returns whether the transfer ended.
+    fn advance_transfer(&mut self, transfer: &mut Transfer, out: &mut Vec<Action>) -> bool {
+        let walked = self.walk_flows(transfer);
+        let due = transfer.pending.len() >= MOST_EXCEPTIONS || walked;
+        if !due || self.recovery.budget < 0.0 {
+            return false;
+        }
+        let count = transfer.pending.len().min(MOST_EXCEPTIONS);
+        let flows: Vec<FlowException> = transfer.pending.drain(..count).collect();
+        let last = walked && transfer.pending.is_empty();
+        self.recovery.budget -= f64::from(EXCEPTION_BYTES * flows.len() as u32);
+        self.send(transfer.to, Message::Exceptions { flows, last }, out);
+        if last {
+            self.recovery.served.insert(transfer.to);
+        }
+        last
+    }
+
+    /// Walks a part of what is remembered; returns whether the end is
+    /// reached.
+    fn walk_flows(&self, transfer: &mut Transfer) -> bool {
+        if transfer.pending.len() >= MOST_EXCEPTIONS {
+            return false;
+        }
+        let window = self.flows.window(transfer.position, WALK);
+        let found = window.filter_map(|e| self.exception(e, &transfer.slots));
+        transfer.pending.extend(found);
+        transfer.position += WALK;
+        if transfer.position < self.flows.positions() {
+            return false;
+        }
+        let handed = &self.recovery.handed;
+        let rest = handed.iter().skip(transfer.handed_over);
+        let found = rest
+            .filter(|&(&hash, &target)| {
+                let slot = self.slot_of_flow(hash, target);
+                transfer.slots.contains(&slot)
+            })
+            .map(|(&flow_hash, &target)| FlowException { flow_hash, target });
+        transfer.pending.extend(found);
+        transfer.handed_over = handed.len();
+        true
+    }
+
+    fn slot_of_flow(&self, flow_hash: u64, target: TargetKey) -> u16 {
+        let service = self.catalog.target(target).service;
+        let seed = self.catalog.service(service).seed;
+        slot_of(seed, placement::bucket(flow_hash))
+    }
+
+    /// Returns the exception that a remembered flow is, if it is one.
+    fn exception(&self, entry: &FlowEntry, slots: &IndexSet<u16>) -> Option<FlowException> {
+        if entry.state == FlowState::Closed {
+            return None;
+        }
+        let bucket = placement::bucket(entry.flow_hash());
+        let key = self.catalog.target(entry.target).service;
+        let service = self.catalog.service(key);
+        let differs = service.base().target(bucket) != entry.target;
+        if !differs || !slots.contains(&slot_of(service.seed, bucket)) {
+            return None;
+        }
+        Some(FlowException {
+            flow_hash: entry.flow_hash(),
+            target: entry.target,
+        })
+    }
+
+    pub(super) fn take_exceptions(
+        &mut self,
+        _now: Instant,
+        from: MemberId,
+        flows: Vec<FlowException>,
+        last: bool,
+    ) {
+        let targets = self.targets.len();
+        let known = flows
+            .into_iter()
+            .filter(|f| (f.target.0 as usize) < targets);
+        let pairs = known.map(|f| (f.flow_hash, f.target));
+        self.recovery.handed.extend(pairs);
+        if last {
+            self.recovery.end_fetch(from);
+        }
+    }
+
+    /// Returns whether every member that will own one of this member's
+    /// ambiguous slots has fetched its exceptions.
+    pub(super) fn successors_are_served(&self) -> bool {
+        let me = self.view.me();
+        self.recovery
+            .ambiguous_slots
+            .iter()
+            .filter(|&&slot| self.slots.owner(slot) == Some(me))
+            .filter_map(|&slot| self.recovery.next.owner(slot))
+            .all(|id| self.recovery.served.contains(&id))
+    }
+
+    /// Recomputes which slots hold ambiguous buckets.
+    pub(super) fn refresh_ambiguous_slots(&mut self) {
+        let mut slots = IndexSet::new();
+        for (_, service) in self.catalog.services() {
+            if !service.has_ambiguity() {
+                continue;
+            }
+            for bucket in 0..placement::BUCKETS as u16 {
+                if service.is_ambiguous(bucket) {
+                    slots.insert(slot_of(service.seed, bucket));
+                }
+            }
+        }
+        self.recovery.ambiguous_slots = slots;
+        if self.recovery.ambiguous_slots.is_empty() {
+            self.recovery.handed.clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/cicadaweir-core/src/placement/generation.rs
@@ -0,0 +1,26 @@
+//! One generation of one service.
+
+use crate::{
+    catalog::{Revision, TargetKey},
+    time::Instant,
+};
+
+/// The target of each bucket, as one release note leaves it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Generation {
+    /// The release note's revision.
+    pub revision: Revision,
+    /// When this entry VM put a later generation into force, if it has.
+    pub superseded: Option<Instant>,
+    /// The targets of the generation with their weights, in name order.
+    pub targets: Vec<(TargetKey, u16)>,
+    /// The target of each bucket.
+    pub table: Vec<TargetKey>,
+}
+
+impl Generation {
+    /// Returns the target of a bucket.
+    pub fn target(&self, bucket: u16) -> TargetKey {
+        self.table[usize::from(bucket)]
+    }
+}
--- /dev/null
+++ b/crates/cicadaweir-core/src/route/outlook.rs
@@ -0,0 +1,35 @@
+//! What is known about a bucket when a packet of it arrives.
+
+use crate::{
+    catalog::{Revision, Service, TargetKey},
+    membership::{MemberId, SlotTable, slot_of},
+};
+
+/// One bucket of one service, seen from one entry VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Outlook {
+    /// The target of flows that nobody has recorded.
+    pub base: TargetKey,
+    /// The target of new flows.
+    pub in_force: TargetKey,
+    /// Whether flows may be on more than one target.
+    pub ambiguous: bool,
+    /// The slot that the bucket falls into.
+    pub slot: u16,
+    /// The owner of the slot.
+    pub owner: Option<MemberId>,
+}
+
+impl Outlook {
+    /// Looks at a bucket.
+    pub fn new(service: &Service, bucket: u16, agreed: Revision, slots: &SlotTable) -> Self {
+        let slot = slot_of(service.seed, bucket);
+        Self {
+            base: service.base().target(bucket),
+            in_force: service.in_force(agreed).target(bucket),
+            ambiguous: service.is_ambiguous(bucket),
+            slot,
+            owner: slots.owner(slot),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cicadaweir-proto/src/codec.rs
@@ -0,0 +1,12 @@
+//! Messages between entry VMs in packed Cap'n Proto.
+
+mod decode;
+mod encode;
+mod error;
+
+pub use decode::decode;
+pub use encode::encode;
+pub use error::CodecError;
+
+/// The version of the peer protocol that this build speaks.
+pub const VERSION: u16 = 1;
--- /dev/null
+++ b/crates/cicadaweir-proto/src/codec/encode.rs
@@ -0,0 +1,148 @@
+//! From a message to bytes.
+
+use capnp::{message::Builder, serialize_packed};
+use cicadaweir_core::{
+    flow::Endpoint,
+    membership::{MemberId, MemberUpdate},
+    message::{FlowMemory, Gossip, Message},
+};
+
+use crate::{note, peer_capnp};
+
+/// Encodes a message and appends it to `buf`.
+///
+/// # Panics
+///
+/// If a list has more elements than an index of 32 bits holds.
+pub fn encode(sender: MemberId, message: &Message, buf: &mut Vec<u8>) {
+    let mut builder = Builder::new_default();
+    let mut envelope = builder.init_root::<peer_capnp::envelope::Builder<'_>>();
+    envelope.set_version(super::VERSION);
+    envelope.set_sender(sender.0);
+    fill(envelope, message);
+    serialize_packed::write_message(buf, &builder).expect("a vector takes every write");
+}
+
+fn fill(envelope: peer_capnp::envelope::Builder<'_>, message: &Message) {
+    match message {
+        Message::Probe { sequence, gossip } => {
+            let mut b = envelope.init_probe();
+            b.set_sequence(*sequence);
+            fill_gossip(b.init_gossip(), gossip);
+        }
+        Message::ProbeAnswer {
+            member,
+            sequence,
+            gossip,
+        } => {
+            let mut b = envelope.init_probe_answer();
+            b.set_member(member.0);
+            b.set_probed(*sequence);
+            fill_gossip(b.init_news(), gossip);
+        }
+        Message::ProbeFor { member, sequence } => {
+            let mut b = envelope.init_probe_for();
+            b.set_third(member.0);
+            b.set_number(*sequence);
+        }
+        Message::MembersWanted { start } => envelope.init_members_wanted().set_start(*start),
+        Message::Members {
+            start,
+            members,
+            more,
+        } => {
+            let mut b = envelope.init_members();
+            b.set_first(*start);
+            b.set_more(*more);
+            fill_members(b.init_records(members.len() as u32), members);
+        }
+        Message::Known { revision } => envelope.init_known().set_revision(revision.0),
+        Message::NotesWanted { have } => envelope.init_notes_wanted().set_have(have.0),
+        Message::Notes { notes, agreed } => {
+            let mut b = envelope.init_notes();
+            b.set_agreed(agreed.0);
+            let mut list = b.init_notes(notes.len() as u32);
+            for (at, release) in (0..).zip(notes) {
+                list.set(at, &note::to_json(release));
+            }
+        }
+        Message::ExceptionsWanted { slots } => {
+            let mut list = envelope
+                .init_exceptions_wanted()
+                .init_slots(slots.len() as u32);
+            for (at, &slot) in (0..).zip(slots) {
+                list.set(at, slot);
+            }
+        }
+        Message::Exceptions { flows, last } => {
+            let mut b = envelope.init_exceptions();
+            b.set_last(*last);
+            let mut list = b.init_flows(flows.len() as u32);
+            for (at, flow) in (0..).zip(flows) {
+                let mut item = list.reborrow().get(at);
+                item.set_flow_hash(flow.flow_hash);
+                item.set_target(flow.target.0);
+            }
+        }
+        Message::Lookup { flow_hash } => envelope.init_lookup().set_flow_hash(*flow_hash),
+        Message::LookupAnswer { flow_hash, memory } => {
+            let mut b = envelope.init_lookup_answer();
+            b.set_hash(*flow_hash);
+            if let Some(FlowMemory {
+                target,
+                target_silence,
+            }) = memory
+            {
+                b.set_found(true);
+                b.set_target(target.0);
+                b.set_silence_ms(target_silence.as_millis().min(u64::from(u32::MAX)) as u32);
+            }
+        }
+    }
+}
+
+fn fill_gossip(mut b: peer_capnp::gossip::Builder<'_>, gossip: &Gossip) {
+    b.set_known(gossip.known.0);
+    b.set_agreed(gossip.agreed.0);
+    b.set_view(gossip.view);
+    let members = b.reborrow().init_members(gossip.members.len() as u32);
+    fill_members(members, &gossip.members);
+    let mut marks = b.reborrow().init_marks(gossip.marks.len() as u32);
+    for (at, mark) in (0..).zip(&gossip.marks) {
+        let mut item = marks.reborrow().get(at);
+        item.set_target(mark.target.0);
+        item.set_version(mark.version);
+        item.set_mark(mark.mark as u8);
+    }
+    let mut loads = b.init_loads(gossip.loads.len() as u32);
+    for (at, load) in (0..).zip(&gossip.loads) {
+        let mut item = loads.reborrow().get(at);
+        item.set_target(load.target.0);
+        item.set_version(load.version);
+        item.set_open(load.open);
+        item.set_pending(load.pending);
+        item.set_rate(load.rate);
+    }
+}
+
+fn fill_members(
+    mut list: capnp::struct_list::Builder<'_, peer_capnp::member::Owned>,
+    members: &[MemberUpdate],
+) {
+    for (at, member) in (0..).zip(members) {
+        let mut item = list.reborrow().get(at);
+        item.set_id(member.id.0);
+        item.set_incarnation(member.incarnation);
+        item.set_phase(member.phase as u8);
+        item.set_health(member.health as u8);
+        item.set_zone(member.zone.0);
+        fill_endpoint(item.init_address(), &member.address);
+    }
+}
+
+fn fill_endpoint(mut b: peer_capnp::endpoint::Builder<'_>, endpoint: &Endpoint) {
+    let ip = u128::from_be_bytes(endpoint.ip);
+    b.set_high((ip >> 64) as u64);
+    b.set_low(ip as u64);
+    b.set_port(endpoint.port);
+}
--- /dev/null
+++ b/crates/cicadaweir-proto/src/note/file.rs
@@ -0,0 +1,199 @@
+//! The release note file in TOML.
+
+use cicadaweir_core::catalog::{Change, ServiceSpec, TargetSpec, ZoneId};
+use serde::{Deserialize, Serialize};
+
+use super::{FileError, GENEVE_PORT, parse_address, parse_endpoint};
+
+/// A release note as an operator writes it.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct NoteFile {
+    /// The revision that the note builds on; the newest one if it is absent.
+    pub base: Option<u64>,
+    /// What is added.
+    pub add: Added,
+    /// What is changed.
+    pub change: Changed,
+    /// What is withdrawn.
+    pub withdraw: Withdrawn,
+}
+
+/// The `add` table.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Added {
+    /// New services.
+    pub service: Vec<ServiceEntry>,
+    /// New targets of services that exist.
+    pub target: Vec<TargetEntry>,
+}
+
+/// The `change` table.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Changed {
+    /// Targets as they shall be.
+    pub target: Vec<TargetEntry>,
+}
+
+/// The `withdraw` table.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Withdrawn {
+    /// Names of services.
+    pub service: Vec<String>,
+    /// Targets as `SERVICE/TARGET`.
+    pub target: Vec<String>,
+}
+
+/// One service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceEntry {
+    /// The name.
+    pub name: String,
+    /// The addresses, as `tcp://IP:PORT` or `udp://IP:PORT`.
+    pub addresses: Vec<String>,
+    /// The targets.
+    #[serde(default)]
+    pub target: Vec<TargetEntry>,
+}
+
+/// One target.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TargetEntry {
+    /// The service, where the target does not stand within one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<String>,
+    /// The name.
+    pub name: String,
+    /// The tunnel endpoint, as `IP` or `IP:PORT`.
+    pub endpoint: String,
+    /// The availability zone.
+    pub zone: u16,
+    /// The share of flows against the other targets.
+    #[serde(default = "default_weight")]
+    pub weight: u16,
+    /// The most connections.
+    #[serde(default = "default_connections")]
+    pub connections: u32,
+    /// Requests at once.
+    #[serde(default = "default_slots")]
+    pub slots: u16,
+    /// Where health and load are asked for over HTTP, as `IP:PORT`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub probe: Option<String>,
+}
+
+const fn default_weight() -> u16 {
+    100
+}
+
+const fn default_connections() -> u32 {
+    2_000
+}
+
+const fn default_slots() -> u16 {
+    2
+}
+
+/// Reads a release note file.
+///
+/// # Errors
+///
+/// [`FileError`] with the line for wrong syntax, or with key, value and what
+/// is allowed.
+pub fn parse(text: &str) -> Result<NoteFile, FileError> {
+    toml::from_str(text).map_err(|err| FileError::Syntax(err.to_string()))
+}
+
+impl NoteFile {
+    /// Turns the file into changes: added services first, withdrawals last.
+    ///
+    /// # Errors
+    ///
+    /// [`FileError::Value`] with key, value and what is allowed.
+    pub fn changes(&self) -> Result<Vec<Change>, FileError> {
+        let mut changes = Vec::new();
+        for service in &self.add.service {
+            changes.push(Change::AddService(service.spec()?));
+        }
+        for target in &self.add.target {
+            changes.push(Change::AddTarget {
+                service: target.service_name("add.target.service")?,
+                target: target.spec()?,
+            });
+        }
+        for target in &self.change.target {
+            changes.push(Change::ChangeTarget {
+                service: target.service_name("change.target.service")?,
+                target: target.spec()?,
+            });
+        }
+        for path in &self.withdraw.target {
+            changes.push(withdrawn_target(path)?);
+        }
+        for service in &self.withdraw.service {
+            changes.push(Change::WithdrawService {
+                service: service.clone(),
+            });
+        }
+        Ok(changes)
+    }
+}
+
+fn withdrawn_target(path: &str) -> Result<Change, FileError> {
+    let (service, target) = path.split_once('/').ok_or_else(|| FileError::Value {
+        key: "withdraw.target".to_owned(),
+        value: path.to_owned(),
+        allowed: "SERVICE/TARGET",
+    })?;
+    Ok(Change::WithdrawTarget {
+        service: service.to_owned(),
+        target: target.to_owned(),
+    })
+}
+
+impl ServiceEntry {
+    fn spec(&self) -> Result<ServiceSpec, FileError> {
+        let addresses = self.addresses.iter();
+        Ok(ServiceSpec {
+            name: self.name.clone(),
+            addresses: addresses
+                .map(|a| parse_address("add.service.addresses", a))
+                .collect::<Result<_, _>>()?,
+            targets: self
+                .target
+                .iter()
+                .map(TargetEntry::spec)
+                .collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl TargetEntry {
+    fn service_name(&self, key: &str) -> Result<String, FileError> {
+        self.service.clone().ok_or_else(|| FileError::Value {
+            key: key.to_owned(),
+            value: String::new(),
+            allowed: "the name of a service",
+        })
+    }
+
+    fn spec(&self) -> Result<TargetSpec, FileError> {
+        let probe = self.probe.as_deref();
+        Ok(TargetSpec {
+            name: self.name.clone(),
+            endpoint: parse_endpoint("target.endpoint", &self.endpoint, GENEVE_PORT)?,
+            zone: ZoneId(self.zone),
+            weight: self.weight,
+            connections: self.connections,
+            slots: self.slots,
+            probe: probe
+                .map(|p| parse_endpoint("target.probe", p, 80))
+                .transpose()?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/cicadaweir-proto/src/relay.rs
@@ -0,0 +1,68 @@
+//! The header of a packet that one entry VM relays to another.
+//!
+//! | offset | bytes | field |
+//! |---|---|---|
+//! | 0 | 2 | magic `c1 ca` |
+//! | 2 | 1 | version |
+//! | 3 | 1 | hops |
+//! | 4 | 4 | sender |
+//! | 8 | 8 | digest of the sender's view |
+//! | 16 | 8 | newest revision that the sender knows |
+//! | 24 | 8 | trace identity, 0 if the packet is not traced |
+//!
+//! All numbers are in network order; the inner IP packet follows.
+
+use cicadaweir_core::{
+    catalog::Revision, error::ErrorKind, membership::MemberId, route::RelayHeader,
+};
+
+/// The length of the header in bytes.
+pub const HEADER_BYTES: usize = 32;
+
+/// The first bytes of a relayed packet.
+pub const MAGIC: [u8; 2] = [0xc1, 0xca];
+
+/// The version of the relay header that this build speaks.
+pub const VERSION: u8 = 1;
+
+/// Writes a header with the trace identity of its packet.
+pub fn encode(header: &RelayHeader, trace: u64) -> [u8; HEADER_BYTES] {
+    let mut buf = [0; HEADER_BYTES];
+    buf[..2].copy_from_slice(&MAGIC);
+    buf[2] = VERSION;
+    buf[3] = header.hops;
+    buf[4..8].copy_from_slice(&header.from.0.to_be_bytes());
+    buf[8..16].copy_from_slice(&header.view.to_be_bytes());
+    buf[16..24].copy_from_slice(&header.known.0.to_be_bytes());
+    buf[24..].copy_from_slice(&trace.to_be_bytes());
+    buf
+}
+
+/// Reads a header; returns it with the trace identity and the inner packet.
+///
+/// # Errors
+///
+/// [`ErrorKind::PeerMalformed`] if the bytes hold no header and no packet,
+/// [`ErrorKind::PeerVersion`] if the header is of another version.
+pub fn decode(bytes: &[u8]) -> Result<(RelayHeader, u64, &[u8]), ErrorKind> {
+    let (header, inner) = bytes
+        .split_at_checked(HEADER_BYTES)
+        .ok_or(ErrorKind::PeerMalformed)?;
+    if header[..2] != MAGIC || inner.is_empty() {
+        return Err(ErrorKind::PeerMalformed);
+    }
+    if header[2] != VERSION {
+        return Err(ErrorKind::PeerVersion);
+    }
+    let relay = RelayHeader {
+        from: MemberId(word(&header[4..8]) as u32),
+        view: word(&header[8..16]),
+        known: Revision(word(&header[16..24])),
+        hops: header[3],
+    };
+    Ok((relay, word(&header[24..]), inner))
+}
+
+fn word(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0, |acc, &b| acc << 8 | u64::from(b))
+}
--- /dev/null
+++ b/crates/cicadaweir-standins/src/caller.rs
@@ -0,0 +1,9 @@
+//! Many callers, each with one flow.
+
+mod flow;
+mod pool;
+mod tally;
+
+pub use flow::{CallerFlow, End, FlowPlan};
+pub use pool::CallerPool;
+pub use tally::Tally;
--- /dev/null
+++ b/crates/cicadaweir-standins/src/platform.rs
@@ -0,0 +1,9 @@
+//! The platform's key-value service and membership list, over HTTP.
+
+mod faults;
+mod kv;
+mod server;
+
+pub use faults::Faults;
+pub use kv::{Kv, Put};
+pub use server::{Counts, PlatformServer};
--- /dev/null
+++ b/crates/cicadaweir-standins/src/platform/server.rs
@@ -0,0 +1,249 @@
+//! The HTTP server of the platform's services.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use cicadaweir_proto::list::ListRecord;
+use indexmap::IndexMap;
+use tiny_http::{Header, Method, Request, Response, Server};
+
+use super::{Faults, Kv, Put};
+
+/// How often the server looks whether it is to end.
+const PATIENCE: Duration = Duration::from_millis(100);
+
+/// Calls answered so far, a waiting watch as one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Counts {
+    /// Reads of keys.
+    pub reads: u64,
+    /// Watches of keys.
+    pub watches: u64,
+    /// Writes of keys.
+    pub writes: u64,
+    /// Reads of the membership list.
+    pub lists: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    kv: Kv,
+    members: Vec<ListRecord>,
+    faults: Faults,
+    counts: Counts,
+}
+
+#[derive(Debug, Default)]
+struct Core {
+    state: Mutex<State>,
+    changed: Condvar,
+    ended: AtomicBool,
+}
+
+/// The platform's services on one address.
+#[derive(Debug)]
+pub struct PlatformServer {
+    core: Arc<Core>,
+    addr: SocketAddr,
+}
+
+impl PlatformServer {
+    /// Starts the services.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error, with the address in it.
+    ///
+    /// # Panics
+    ///
+    /// If the server listens on something other than IP.
+    pub fn start(addr: SocketAddr) -> io::Result<Self> {
+        let server =
+            Server::http(addr).map_err(|err| io::Error::other(format!("{addr}: {err}")))?;
+        let addr = server.server_addr().to_ip().expect("an IP listener");
+        let core = Arc::new(Core::default());
+        let shared = Arc::clone(&core);
+        thread::spawn(move || {
+            while !shared.ended.load(Ordering::Relaxed) {
+                let Ok(Some(req)) = server.recv_timeout(PATIENCE) else {
+                    continue;
+                };
+                let shared = Arc::clone(&shared);
+                thread::spawn(move || shared.serve(req));
+            }
+        });
+        Ok(Self { core, addr })
+    }
+
+    /// Returns the address.
+    pub const fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sets the membership list.
+    pub fn set_members(&self, members: Vec<ListRecord>) {
+        let mut state = self.core.lock();
+        if !state.faults.list_frozen {
+            state.members = members;
+        }
+    }
+
+    /// Sets what is wrong.
+    pub fn set_faults(&self, faults: Faults) {
+        self.core.lock().faults = faults;
+        self.core.changed.notify_all();
+    }
+
+    /// Returns the calls answered so far.
+    pub fn counts(&self) -> Counts {
+        self.core.lock().counts
+    }
+}
+
+impl Drop for PlatformServer {
+    fn drop(&mut self) {
+        self.core.ended.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Core {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    fn serve(&self, mut req: Request) {
+        let faults = self.lock().faults;
+        thread::sleep(faults.slow);
+        if faults.down {
+            return answer(req, 503, None, b"down");
+        }
+        let url = req.url().to_owned();
+        let (path, arguments) = url.split_once('?').unwrap_or((&url, ""));
+        let arguments = parse_arguments(arguments);
+        let mut body = Vec::new();
+        let _ = req.as_reader().read_to_end(&mut body);
+        match (req.method().clone(), path) {
+            (Method::Get, "/members") => self.list(req),
+            (Method::Post, "/leases") => self.grant(req, &arguments),
+            (Method::Post, "/leases/keep") => self.keep(req, &arguments),
+            (Method::Get, path) if path.starts_with("/kv/") => {
+                self.read(req, &path[4..], &arguments);
+            }
+            (Method::Put, path) if path.starts_with("/kv/") => {
+                self.write(req, &path[4..], &arguments, body);
+            }
+            _ => answer(req, 404, None, b"unknown call"),
+        }
+    }
+
+    fn list(&self, req: Request) {
+        let mut state = self.lock();
+        state.counts.lists += 1;
+        let body = serde_json::to_vec(&state.members).unwrap_or_default();
+        drop(state);
+        answer(req, 200, None, &body);
+    }
+
+    fn read(&self, req: Request, key: &str, arguments: &IndexMap<String, u64>) {
+        let after = arguments.get("after").copied();
+        let wait = Duration::from_millis(arguments.get("wait_ms").copied().unwrap_or(0));
+        let mut state = self.lock();
+        match after {
+            Some(_) => state.counts.watches += 1,
+            None => state.counts.reads += 1,
+        }
+        let deadline = Instant::now() + wait;
+        loop {
+            state.kv.lapse(Instant::now());
+            let version = state.kv.get(key).map_or(0, |found| found.0);
+            let left = deadline.saturating_duration_since(Instant::now());
+            let waits = after.is_some_and(|after| version <= after);
+            if !waits || left.is_zero() || state.faults.down {
+                break;
+            }
+            let waited = self.changed.wait_timeout(state, left.min(PATIENCE));
+            state = waited.map_or_else(|e| e.into_inner().0, |w| w.0);
+        }
+        let down = state.faults.down;
+        let found = state.kv.get(key).map(|(v, value)| (v, value.to_vec()));
+        drop(state);
+        match found {
+            _ if down => answer(req, 503, None, b"down"),
+            Some((version, value)) => answer(req, 200, Some(version), &value),
+            None => answer(req, 404, None, b"no such key"),
+        }
+    }
+
+    fn write(&self, req: Request, key: &str, arguments: &IndexMap<String, u64>, body: Vec<u8>) {
+        let expected = arguments.get("expected").copied().unwrap_or(0);
+        let mut state = self.lock();
+        state.counts.writes += 1;
+        let lease = arguments.get("lease").copied();
+        let put = state.kv.put(key, expected, body, lease);
+        let lost = state.faults.lost_write_answers > 0;
+        state.faults.lost_write_answers -= u32::from(lost);
+        drop(state);
+        self.changed.notify_all();
+        if lost {
+            // Dropping the request closes the connection without an answer
+            // that the caller could take for one.
+            return answer(req, 504, None, b"lost");
+        }
+        match put {
+            Put::Written(version) => answer(req, 200, Some(version), b""),
+            Put::Conflict(version) => answer(req, 409, Some(version), b""),
+            Put::TooLarge => answer(req, 413, None, b"larger than 1 MB"),
+            Put::NoLease => answer(req, 410, None, b"no such lease"),
+        }
+    }
+
+    fn grant(&self, req: Request, arguments: &IndexMap<String, u64>) {
+        let span = arguments.get("ttl_ms").copied().unwrap_or(1_000);
+        let mut state = self.lock();
+        state.counts.writes += 1;
+        let id = state.kv.grant(Instant::now(), Duration::from_millis(span));
+        drop(state);
+        answer(req, 200, None, id.to_string().as_bytes());
+    }
+
+    fn keep(&self, req: Request, arguments: &IndexMap<String, u64>) {
+        let id = arguments.get("id").copied().unwrap_or(0);
+        let mut state = self.lock();
+        state.counts.writes += 1;
+        let now = Instant::now();
+        state.kv.lapse(now);
+        let code = if state.kv.keep_alive(now, id) {
+            200
+        } else {
+            410
+        };
+        drop(state);
+        answer(req, code, None, b"");
+    }
+}
+
+fn parse_arguments(text: &str) -> IndexMap<String, u64> {
+    let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .filter_map(|(name, value)| Some((name.to_owned(), value.parse().ok()?)))
+        .collect()
+}
+
+fn answer(req: Request, code: u16, version: Option<u64>, body: &[u8]) {
+    let mut response = Response::from_data(body).with_status_code(code);
+    if let Some(version) = version {
+        let header = Header::from_bytes("kv-version", version.to_string());
+        response.add_header(header.expect("a number is a header value"));
+    }
+    let _ = req.respond(response);
+}
--- /dev/null
+++ b/crates/cicadaweir-standins/src/target.rs
@@ -0,0 +1,10 @@
+//! A target: slots, connections, an application that answers requests, and a
+//! load endpoint.
+
+mod app;
+mod options;
+mod server;
+
+pub use app::{App, Request};
+pub use options::TargetOptions;
+pub use server::TargetServer;
--- /dev/null
+++ b/crates/cicadaweir/src/history.rs
@@ -0,0 +1,122 @@
+//! Reading release notes back from the store.
+
+use std::fmt;
+
+use cicadaweir_core::{
+    catalog::{Catalog, ReleaseNote, Revision},
+    error::ErrorKind,
+    placement,
+};
+use cicadaweir_proto::{
+    note,
+    store::{HEAD_KEY, Head, note_key},
+};
+use cicadaweird::platform::{Platform, PlatformError};
+
+/// Why the store's release notes can't be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Error {
+    /// The platform did not answer.
+    Platform(PlatformError),
+    /// A record does not decode, or does not fit the ones before it.
+    Malformed {
+        /// The key.
+        key: String,
+        /// What is wrong.
+        why: String,
+    },
+}
+
+impl Error {
+    /// Returns the kind in the closed list.
+    pub const fn kind(&self) -> ErrorKind {
+        match self {
+            Self::Platform(_) => ErrorKind::StoreUnavailable,
+            Self::Malformed { .. } => ErrorKind::StoreMalformed,
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Platform(err) => err.fmt(f),
+            Self::Malformed { key, why } => write!(f, "{key}: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<PlatformError> for Error {
+    fn from(err: PlatformError) -> Self {
+        Self::Platform(err)
+    }
+}
+
+/// Reads the head and its version, 0 if there is none.
+///
+/// # Errors
+///
+/// [`Error`] if the platform does not answer or the head does not decode.
+pub fn head(platform: &impl Platform) -> Result<(u64, Head), Error> {
+    let Some(found) = platform.get(HEAD_KEY)? else {
+        return Ok((0, Head::default()));
+    };
+    let head = serde_json::from_slice(&found.value).map_err(|err| Error::Malformed {
+        key: HEAD_KEY.to_owned(),
+        why: err.to_string(),
+    })?;
+    Ok((found.version, head))
+}
+
+/// Reads one release note.
+///
+/// # Errors
+///
+/// [`Error`] if the platform does not answer or the note does not decode.
+pub fn release_note(platform: &impl Platform, name: &str) -> Result<ReleaseNote, Error> {
+    let key = note_key(name);
+    let malformed = |why: String| Error::Malformed {
+        key: key.clone(),
+        why,
+    };
+    let found = platform
+        .get(&key)?
+        .ok_or_else(|| malformed("does not exist".to_owned()))?;
+    note::from_json(&found.value).map_err(|err| malformed(err.to_string()))
+}
+
+/// Reads the notes after a revision, oldest first, as far as the head names
+/// them.
+///
+/// # Errors
+///
+/// [`Error`] if the platform does not answer or a note does not decode.
+pub fn notes_after(
+    platform: &impl Platform,
+    head: &Head,
+    after: Revision,
+) -> Result<Vec<ReleaseNote>, Error> {
+    (after.0 + 1..=head.revision)
+        .filter_map(|revision| head.note_of(Revision(revision)))
+        .map(|name| release_note(platform, name))
+        .collect()
+}
+
+/// Replays all notes up to the head.
+///
+/// # Errors
+///
+/// [`Error`] if the platform does not answer, or a note does not decode or
+/// does not fit.
+pub fn catalog(platform: &impl Platform, head: &Head) -> Result<Catalog, Error> {
+    let mut catalog = Catalog::new(placement::Options::default());
+    for release in notes_after(platform, head, Revision::default())? {
+        catalog.apply(&release).map_err(|err| Error::Malformed {
+            key: note_key(&release.id.to_string()),
+            why: err.to_string(),
+        })?;
+    }
+    Ok(catalog)
+}
--- /dev/null
+++ b/crates/cicadaweir/src/lib.rs
@@ -0,0 +1,15 @@
+//! The operations behind the command-line tool.
+//!
+//! | module | operation |
+//! |---|---|
+//! | [`publish`] | makes a release note the newest one |
+//! | [`history`] | reads release notes back and replays them |
+//! | [`fleet`] | asks all entry VMs through their control endpoints |
+//! | [`exit`] | the table from error kind to exit code |
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod exit;
+pub mod fleet;
+pub mod history;
+pub mod publish;
--- /dev/null
+++ b/crates/cicadaweir/src/main.rs
@@ -0,0 +1,3 @@
+//! The command-line tool; its commands follow.
+
+fn main() {}
--- /dev/null
+++ b/crates/cicadaweird/src/daemon.rs
@@ -0,0 +1,11 @@
+//! The loop: events in, actions out.
+
+mod engine;
+mod handle;
+mod outputs;
+mod report;
+mod run;
+mod stopping;
+
+pub use handle::{Handle, spawn};
+pub use run::run;
--- /dev/null
+++ b/crates/cicadaweird/src/daemon/engine.rs
@@ -0,0 +1,346 @@
+//! The core with its buffers, between the sockets.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering, mpsc::Sender},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use cicadaweir_core::{
+    hash,
+    membership::{Health, MemberUpdate, Phase},
+    node::Node,
+    packet::Direction,
+    prelude::*,
+    time,
+};
+use cicadaweir_proto::{codec, relay};
+
+use crate::{
+    control::{ExplainBody, Query, Reply, StatusBody},
+    inbox::Input,
+    metrics::Reporter,
+    platform::Shared,
+    pool::Pool,
+    settings::Settings,
+    socket::BatchSocket,
+    tracing::Tracer,
+    tunnel::{self, Inner},
+};
+
+use super::{
+    outputs::{Current, MESSAGE_MAGIC},
+    report::DaemonCounters,
+    stopping::Stopping,
+};
+
+/// Packets that may wait for an answer of another entry VM.
+const POOL_PACKETS: u32 = 1_024;
+
+/// The time between two reports of metrics.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The core with its buffers.
+pub(super) struct Engine {
+    pub node: Node,
+    pub member: MemberId,
+    pub fabric: SocketAddr,
+    pub actions: Vec<Action>,
+    pub scratch: Vec<u8>,
+    pub pool: Pool,
+    pub counters: DaemonCounters,
+    pub shared: Arc<Shared>,
+    pub probes: Sender<(TargetKey, SocketAddr)>,
+    pub tracer: Tracer,
+    hash_key: hash::HashKey,
+    started: Instant,
+    reporter: Reporter,
+    next_report: Instant,
+    stopping: Option<Stopping>,
+    quiet_stop: Duration,
+    stop_limit: Duration,
+}
+
+impl Engine {
+    pub fn new(
+        settings: &Settings,
+        shared: Arc<Shared>,
+        probes: Sender<(TargetKey, SocketAddr)>,
+    ) -> Self {
+        let member = MemberId(settings.member.id);
+        let now_ms = SystemTime::now().duration_since(UNIX_EPOCH);
+        let me = MemberUpdate {
+            id: member,
+            incarnation: now_ms.map_or(1, |d| d.as_millis() as u64),
+            phase: Phase::Joining,
+            health: Health::Alive,
+            zone: ZoneId(settings.member.zone),
+            address: settings.listen.peer.into(),
+        };
+        let hash_key = settings.flow_key();
+        let start = time::Instant::START;
+        Self {
+            node: Node::new(settings.node_options(), hash_key, me, start),
+            member,
+            fabric: settings.fabric,
+            actions: Vec::new(),
+            scratch: Vec::new(),
+            pool: Pool::new(POOL_PACKETS),
+            counters: DaemonCounters::default(),
+            shared,
+            probes,
+            tracer: Tracer::new(settings.trace.one_in, settings.member.id),
+            hash_key,
+            started: Instant::now(),
+            reporter: Reporter::new(settings.metrics.statsd),
+            next_report: Instant::now(),
+            stopping: None,
+            quiet_stop: Duration::from_secs(settings.limits.quiet_stop_secs),
+            stop_limit: Duration::from_secs(settings.limits.stop_secs),
+        }
+    }
+
+    fn now(&self) -> time::Instant {
+        time::Instant::from_micros(self.started.elapsed().as_micros() as u64)
+    }
+
+    /// Takes a datagram from the tunnel socket: from the fabric, or from a
+    /// target.
+    pub fn tunnel_datagram(
+        &mut self,
+        tunnel: &BatchSocket,
+        peer: &BatchSocket,
+        from: SocketAddr,
+        bytes: &[u8],
+    ) {
+        let direction = if from.ip() == self.fabric.ip() {
+            Direction::ToTarget
+        } else {
+            Direction::ToCaller
+        };
+        let Some(inner) = self.inner(bytes, from) else {
+            return;
+        };
+        let info = inner.info(direction);
+        let current = self.current(bytes, &info, 0);
+        let packet = current.packet;
+        let event = match direction {
+            Direction::ToTarget => Event::FromCaller { packet, info },
+            Direction::ToCaller => Event::FromTarget {
+                packet,
+                info,
+                from: from.into(),
+            },
+        };
+        self.trace(Some(current), "ingress", || info.flow.to_string());
+        self.step(tunnel, peer, event, Some(current));
+    }
+
+    fn inner(&mut self, bytes: &[u8], from: SocketAddr) -> Option<Inner> {
+        match tunnel::decapsulate(bytes).and_then(tunnel::read) {
+            Ok(inner) => Some(inner),
+            Err(kind) => {
+                self.counters.error(kind, format_args!("from {from}"));
+                None
+            }
+        }
+    }
+
+    fn current<'a>(&mut self, bytes: &'a [u8], info: &PacketInfo, trace: u64) -> Current<'a> {
+        if let Some(stopping) = &mut self.stopping {
+            stopping.packet(Instant::now());
+        }
+        let trace = if trace == 0 {
+            self.tracer
+                .sample(|| hash::flow(&self.hash_key, &info.flow))
+        } else {
+            trace
+        };
+        Current {
+            packet: self.pool.offer(),
+            bytes,
+            trace,
+            arrived: if trace == 0 {
+                UNIX_EPOCH
+            } else {
+                SystemTime::now()
+            },
+        }
+    }
+
+    /// Takes a datagram from the peer socket: a message, or a relayed packet.
+    pub fn peer_datagram(
+        &mut self,
+        tunnel: &BatchSocket,
+        peer: &BatchSocket,
+        from: SocketAddr,
+        bytes: &[u8],
+    ) {
+        match bytes.first_chunk::<2>() {
+            Some(&MESSAGE_MAGIC) => self.message(tunnel, peer, from, &bytes[2..]),
+            Some(&relay::MAGIC) => self.relayed(tunnel, peer, from, bytes),
+            _ => self
+                .counters
+                .error(ErrorKind::PeerMalformed, format_args!("from {from}")),
+        }
+    }
+
+    fn message(
+        &mut self,
+        tunnel: &BatchSocket,
+        peer: &BatchSocket,
+        from: SocketAddr,
+        bytes: &[u8],
+    ) {
+        let (sender, message) = match codec::decode(bytes) {
+            Ok(decoded) => decoded,
+            Err(err) => {
+                return self
+                    .counters
+                    .error(err.kind(), format_args!("from {from}: {err}"));
+            }
+        };
+        if self.node.view().get(sender).is_some() && !self.is_address_of(sender, from) {
+            return self.counters.error(
+                ErrorKind::PeerUnknown,
+                format_args!("{from} is not {sender}"),
+            );
+        }
+        let event = Event::Message {
+            from: sender,
+            message,
+        };
+        self.step(tunnel, peer, event, None);
+    }
+
+    fn is_address_of(&self, member: MemberId, from: SocketAddr) -> bool {
+        let known = self.node.view().get(member);
+        known.is_some_and(|m| m.record.address == from.into())
+    }
+
+    fn relayed(
+        &mut self,
+        tunnel: &BatchSocket,
+        peer: &BatchSocket,
+        from: SocketAddr,
+        bytes: &[u8],
+    ) {
+        let (header, trace, datagram) = match relay::decode(bytes) {
+            Ok(decoded) => decoded,
+            Err(kind) => return self.counters.error(kind, format_args!("from {from}")),
+        };
+        if !self.is_address_of(header.from, from) {
+            return self.counters.error(
+                ErrorKind::PeerUnknown,
+                format_args!("{from} is not {}", header.from),
+            );
+        }
+        let Some(inner) = self.inner(datagram, from) else {
+            return;
+        };
+        let info = inner.info(Direction::ToTarget);
+        let current = self.current(datagram, &info, trace);
+        let event = Event::Relayed {
+            packet: current.packet,
+            info,
+            header,
+        };
+        self.trace(Some(current), "relayed", || info.flow.to_string());
+        self.step(tunnel, peer, event, Some(current));
+    }
+
+    /// Takes an input of a helper thread.
+    pub fn input(&mut self, tunnel: &BatchSocket, peer: &BatchSocket, input: Input) {
+        match input {
+            Input::List(list) => self.step(tunnel, peer, Event::List(list), None),
+            Input::Note(note) => {
+                self.step(tunnel, peer, Event::Note(note), None);
+                self.share();
+            }
+            Input::Probed(target, result) => {
+                self.step(tunnel, peer, Event::Probed { target, result }, None);
+            }
+            Input::Query(query, tx) => {
+                let reply = self.answer(tunnel, peer, &query);
+                let _ = tx.send(reply);
+            }
+            Input::Stop => self.stop(tunnel, peer),
+            Input::Abort => {}
+        }
+    }
+
+    fn stop(&mut self, tunnel: &BatchSocket, peer: &BatchSocket) {
+        if self.stopping.is_none() {
+            let now = Instant::now();
+            self.stopping = Some(Stopping::new(now, self.quiet_stop, self.stop_limit));
+            self.step(tunnel, peer, Event::Leave, None);
+        }
+    }
+
+    fn answer(&mut self, tunnel: &BatchSocket, peer: &BatchSocket, query: &Query) -> Reply {
+        match query {
+            Query::Status => {
+                let counters = self.counters.all(self.node.counters());
+                Self::json(200, &StatusBody::new(&self.node.status(), counters))
+            }
+            Query::Leave => {
+                self.stop(tunnel, peer);
+                Self::json(200, &"leaving")
+            }
+            Query::Explain(flow) => match self.node.explain(flow) {
+                None => Reply {
+                    code: 404,
+                    body: "{\"error\":\"no service has the address\"}".to_owned(),
+                },
+                Some(explanation) => {
+                    let catalog = self.node.catalog();
+                    let name = |t| catalog.target(t).spec.name.clone();
+                    Self::json(200, &ExplainBody::new(self.member.0, &explanation, name))
+                }
+            },
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, tunnel: &BatchSocket, peer: &BatchSocket) {
+        self.step(tunnel, peer, Event::Tick, None);
+        self.share();
+        let now = Instant::now();
+        if now >= self.next_report {
+            self.next_report = now + REPORT_INTERVAL;
+            let counters = self.counters.all(self.node.counters());
+            let flows = self.node.flows().len() as u64;
+            let revision = self.node.in_force().0;
+            self.reporter
+                .report(&counters, &[("flows", flows), ("in_force", revision)]);
+        }
+    }
+
+    /// Tells the following threads how far the core has come.
+    fn share(&self) {
+        let shared = &self.shared;
+        shared
+            .known
+            .store(self.node.known_revision().0, Ordering::Relaxed);
+        let has_peers = self.node.view().len() > 1;
+        shared.has_peers.store(has_peers, Ordering::Relaxed);
+    }
+
+    fn step(
+        &mut self,
+        tunnel: &BatchSocket,
+        peer: &BatchSocket,
+        event: Event,
+        current: Option<Current<'_>>,
+    ) {
+        let now = self.now();
+        self.node.handle(now, event, &mut self.actions);
+        self.act(tunnel, peer, current);
+    }
+
+    /// Returns whether a planned stop is over.
+    pub fn has_stopped(&self) -> bool {
+        self.stopping
+            .is_some_and(|s| s.is_over(Instant::now(), self.node.phase()))
+    }
+}
--- /dev/null
+++ b/crates/cicadaweird/src/daemon/outputs.rs
@@ -0,0 +1,194 @@
+//! Carrying out the core's actions.
+
+use std::{net::SocketAddr, sync::atomic::Ordering, time::SystemTime};
+
+use cicadaweir_core::{prelude::*, route::RelayHeader};
+use cicadaweir_proto::{codec, relay};
+use log::info;
+
+use crate::{control::Reply, socket::BatchSocket, tunnel};
+
+use super::engine::Engine;
+
+/// The first bytes of a datagram that holds a message.
+pub(super) const MESSAGE_MAGIC: [u8; 2] = [0xc1, 0xcb];
+
+/// The packet that the current event is about.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Current<'a> {
+    /// The handle that the core was told.
+    pub packet: PacketRef,
+    /// The datagram.
+    pub bytes: &'a [u8],
+    /// The trace identity, 0 if the packet is not traced.
+    pub trace: u64,
+    /// When the packet came, if it is traced.
+    pub arrived: SystemTime,
+}
+
+impl Engine {
+    /// Carries out all pending actions.
+    pub(super) fn act(
+        &mut self,
+        tunnel: &BatchSocket,
+        peer: &BatchSocket,
+        current: Option<Current<'_>>,
+    ) {
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            self.act_one(tunnel, peer, current, action);
+        }
+        self.actions = actions;
+    }
+
+    fn act_one(
+        &mut self,
+        tunnel: &BatchSocket,
+        peer: &BatchSocket,
+        current: Option<Current<'_>>,
+        action: Action,
+    ) {
+        match action {
+            Action::Forward { packet, target } => {
+                let to = self.node.catalog().target(target).spec.endpoint.into();
+                self.send_packet(tunnel, current, packet, to);
+                self.trace(current, "egress", || format!("target {to}"));
+            }
+            Action::ToCaller { packet } => {
+                let to = self.fabric;
+                self.send_packet(tunnel, current, packet, to);
+                self.trace(current, "answer", || format!("fabric {to}"));
+            }
+            Action::Relay { packet, to, header } => self.relay(peer, current, packet, to, &header),
+            Action::Hold { packet } => self.hold(current, packet),
+            Action::Discard { packet, kind } => {
+                self.counters.log(kind, "packet discarded");
+                if current.is_none_or(|c| c.packet != packet) {
+                    self.pool.release(packet);
+                }
+            }
+            Action::Refuse { packet, kind } => {
+                self.counters.log(kind, "opening refused");
+                self.reset(tunnel, current, packet);
+            }
+            Action::ResetCaller { packet } => self.reset(tunnel, current, packet),
+            Action::Send { to, message } => self.send_message(peer, to, &message),
+            Action::ProbeTarget { target } => self.probe(target),
+            Action::WatchStore { on } => self.shared.watching.store(on, Ordering::Relaxed),
+            Action::InForce { revision } => info!(revision = revision.0; "revision in force"),
+            Action::EnteredPhase { phase } => info!(phase:debug = phase; "phase entered"),
+        }
+    }
+
+    fn send_packet(
+        &mut self,
+        tunnel: &BatchSocket,
+        current: Option<Current<'_>>,
+        packet: PacketRef,
+        to: SocketAddr,
+    ) {
+        match current.filter(|c| c.packet == packet) {
+            Some(current) => {
+                tunnel.send(to, current.bytes);
+            }
+            None => {
+                if let Some(bytes) = self.pool.get(packet) {
+                    tunnel.send(to, bytes);
+                }
+                self.pool.release(packet);
+            }
+        }
+    }
+
+    fn relay(
+        &mut self,
+        peer: &BatchSocket,
+        current: Option<Current<'_>>,
+        packet: PacketRef,
+        to: MemberId,
+        header: &RelayHeader,
+    ) {
+        let Some(current) = current.filter(|c| c.packet == packet) else {
+            return;
+        };
+        let Some(member) = self.node.view().get(to) else {
+            return;
+        };
+        let address = member.record.address.into();
+        self.scratch.clear();
+        self.scratch
+            .extend_from_slice(&relay::encode(header, current.trace));
+        self.scratch.extend_from_slice(current.bytes);
+        self.counters.relayed_bytes += self.scratch.len() as u64;
+        peer.send(address, &self.scratch);
+        self.trace(Some(current), "relay", || format!("entry VM {to}"));
+    }
+
+    fn hold(&mut self, current: Option<Current<'_>>, packet: PacketRef) {
+        let Some(current) = current else {
+            return;
+        };
+        if !self.pool.keep(packet, current.bytes) {
+            self.counters
+                .error(ErrorKind::QueueFull, "no room for a packet that waits");
+        }
+    }
+
+    fn reset(&mut self, tunnel: &BatchSocket, current: Option<Current<'_>>, packet: PacketRef) {
+        let Some(current) = current.filter(|c| c.packet == packet) else {
+            return self.pool.release(packet);
+        };
+        let Ok(inner) = tunnel::decapsulate(current.bytes) else {
+            return;
+        };
+        let mut answer = Vec::new();
+        if tunnel::reset_towards_caller(inner, &mut answer) {
+            tunnel::encapsulate(&answer, &mut self.scratch);
+            tunnel.send(self.fabric, &self.scratch);
+        }
+    }
+
+    fn send_message(
+        &mut self,
+        peer: &BatchSocket,
+        to: MemberId,
+        message: &cicadaweir_core::message::Message,
+    ) {
+        let Some(member) = self.node.view().get(to) else {
+            return;
+        };
+        let address = member.record.address.into();
+        self.scratch.clear();
+        self.scratch.extend_from_slice(&MESSAGE_MAGIC);
+        codec::encode(self.member, message, &mut self.scratch);
+        let kind = message.kind().name();
+        *self.counters.control_bytes.entry(kind).or_default() += self.scratch.len() as u64;
+        peer.send(address, &self.scratch);
+    }
+
+    fn probe(&mut self, target: TargetKey) {
+        let probe = self.node.catalog().target(target).spec.probe;
+        if let Some(endpoint) = probe {
+            let _ = self.probes.send((target, endpoint.into()));
+        }
+    }
+
+    pub(super) fn trace(
+        &self,
+        current: Option<Current<'_>>,
+        name: &'static str,
+        detail: impl FnOnce() -> String,
+    ) {
+        if let Some(current) = current.filter(|c| c.trace != 0) {
+            self.tracer
+                .hop(current.trace, name, current.arrived, detail());
+        }
+    }
+
+    /// Makes a reply from a value.
+    pub(super) fn json(code: u16, value: &impl serde::Serialize) -> Reply {
+        let body =
+            serde_json::to_string(value).unwrap_or_else(|err| format!("{{\"error\":\"{err}\"}}"));
+        Reply { code, body }
+    }
+}
--- /dev/null
+++ b/crates/cicadaweird/src/daemon/run.rs
@@ -0,0 +1,200 @@
+//! Starting the loop and turning it.
+
+use std::{
+    io,
+    sync::{Arc, atomic::Ordering, mpsc::Receiver},
+    thread,
+    time::{Duration, Instant},
+};
+
+use cicadaweir_core::node;
+use log::{error, info};
+use stakker::{CX, Stakker, actor, after, fwd_to, ret_shutdown, stop};
+use stakker_mio::{
+    MioPoll, Ready,
+    mio::{Events, Poll},
+};
+
+use crate::{
+    control,
+    inbox::{Inbox, Input},
+    platform::{HttpPlatform, Shared, follow_list, follow_store},
+    probe,
+    settings::Settings,
+    socket::{Batch, BatchSocket},
+};
+
+use super::engine::Engine;
+
+/// The longest sleep of the loop.
+const MAX_WAIT: Duration = Duration::from_millis(100);
+
+/// Events that one poll returns at most.
+const EVENTS: usize = 256;
+
+/// Runs a daemon until it has stopped. `started` is called with the inbox
+/// once all sockets are bound.
+///
+/// # Errors
+///
+/// The operating system's error if a socket can't be bound or polled.
+pub fn run(settings: Settings, started: impl FnOnce(Inbox)) -> io::Result<()> {
+    let mut stakker = Stakker::new(Instant::now());
+    let s = &mut stakker;
+    let mut poll = MioPoll::new(s, Poll::new()?, Events::with_capacity(EVENTS), 5)?;
+    let (inbox, rx) = Inbox::new(poll.waker());
+    let shared = Arc::new(Shared::default());
+    let control = settings.listen.control;
+    control::start(control, inbox.clone(), Arc::clone(&shared))?;
+    let (tx, failed) = std::sync::mpsc::channel();
+    let parts = Parts {
+        settings,
+        rx,
+        inbox: inbox.clone(),
+        shared: Arc::clone(&shared),
+        failed: tx,
+    };
+    let daemon = actor!(s, Daemon::init(parts), ret_shutdown!(s));
+    poll.set_wake_fwd(fwd_to!([daemon], inputs() as (Ready)));
+    s.run(Instant::now(), false);
+    if let Ok(err) = failed.try_recv() {
+        shared.ended.store(true, Ordering::Relaxed);
+        return Err(err);
+    }
+    started(inbox);
+    let turned = turn(s, &poll);
+    shared.ended.store(true, Ordering::Relaxed);
+    turned
+}
+
+fn turn(s: &mut Stakker, poll: &MioPoll) -> io::Result<()> {
+    let mut idle_pending = s.run(Instant::now(), false);
+    let mut io_pending = false;
+    while s.not_shutdown() {
+        let wait = s.next_wait_max(Instant::now(), MAX_WAIT, idle_pending || io_pending);
+        let (activity, pending) = poll.poll(wait)?;
+        io_pending = pending;
+        idle_pending = s.run(Instant::now(), !activity);
+    }
+    Ok(())
+}
+
+/// What the daemon's actor is made of.
+struct Parts {
+    settings: Settings,
+    rx: Receiver<Input>,
+    inbox: Inbox,
+    shared: Arc<Shared>,
+    failed: std::sync::mpsc::Sender<io::Error>,
+}
+
+/// The daemon's actor: the sockets and the engine behind them.
+struct Daemon {
+    tunnel: BatchSocket,
+    peer: BatchSocket,
+    batch: Batch,
+    engine: Engine,
+    rx: Receiver<Input>,
+    next_tick: Instant,
+}
+
+impl Daemon {
+    fn init(cx: CX![], parts: Parts) -> Option<Self> {
+        let failed = parts.failed.clone();
+        match Self::setup(cx, parts) {
+            Ok(this) => Some(this),
+            Err(err) => {
+                error!("the daemon cannot start: {err}");
+                let _ = failed.send(err);
+                stop!(cx);
+                None
+            }
+        }
+    }
+
+    fn setup(cx: CX![], parts: Parts) -> io::Result<Self> {
+        let listen = parts.settings.listen.clone();
+        let poll = cx.anymap_get::<MioPoll>();
+        let ready = fwd_to!([cx], read_tunnel() as (Ready));
+        let tunnel = BatchSocket::bind(listen.tunnel, &poll, ready)?;
+        let ready = fwd_to!([cx], read_peers() as (Ready));
+        let peer = BatchSocket::bind(listen.peer, &poll, ready)?;
+        let probes = probe::start(&parts.inbox);
+        start_following(&parts);
+        info!(
+            member = parts.settings.member.id,
+            zone = parts.settings.member.zone,
+            tunnel:display = listen.tunnel,
+            peer:display = listen.peer;
+            "started"
+        );
+        let batch = Batch::new(&tunnel);
+        let engine = Engine::new(&parts.settings, parts.shared, probes);
+        after!(tick_span(), [cx], tick());
+        Ok(Self {
+            tunnel,
+            peer,
+            batch,
+            engine,
+            rx: parts.rx,
+            next_tick: cx.now() + tick_span(),
+        })
+    }
+
+    fn read_tunnel(&mut self, cx: CX![], ready: Ready) {
+        let (tunnel, peer, engine) = (&self.tunnel, &self.peer, &mut self.engine);
+        let more = tunnel.read(&mut self.batch, |from, bytes| {
+            engine.tunnel_datagram(tunnel, peer, from, bytes);
+        });
+        match more {
+            Ok(true) => stakker::call!([cx], read_tunnel(ready)),
+            Ok(false) => {}
+            Err(err) => error!("tunnel socket: {err}"),
+        }
+    }
+
+    fn read_peers(&mut self, cx: CX![], ready: Ready) {
+        let (tunnel, peer, engine) = (&self.tunnel, &self.peer, &mut self.engine);
+        let more = peer.read(&mut self.batch, |from, bytes| {
+            engine.peer_datagram(tunnel, peer, from, bytes);
+        });
+        match more {
+            Ok(true) => stakker::call!([cx], read_peers(ready)),
+            Ok(false) => {}
+            Err(err) => error!("peer socket: {err}"),
+        }
+    }
+
+    fn inputs(&mut self, cx: CX![], _: Ready) {
+        while let Ok(input) = self.rx.try_recv() {
+            if matches!(input, Input::Abort) {
+                return stop!(cx);
+            }
+            self.engine.input(&self.tunnel, &self.peer, input);
+        }
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        self.engine.tick(&self.tunnel, &self.peer);
+        if self.engine.has_stopped() {
+            info!("stopped");
+            return stop!(cx);
+        }
+        self.next_tick = (self.next_tick + tick_span()).max(cx.now());
+        let wait = self.next_tick.saturating_duration_since(cx.now());
+        after!(wait, [cx], tick());
+    }
+}
+
+fn tick_span() -> Duration {
+    Duration::from_micros(node::TICK.as_micros())
+}
+
+fn start_following(parts: &Parts) {
+    let platform = HttpPlatform::new(parts.settings.platform.store, parts.settings.platform.list);
+    let (shared, inbox) = (Arc::clone(&parts.shared), parts.inbox.clone());
+    let list_platform = platform.clone();
+    thread::spawn(move || follow_list(list_platform, &shared, &inbox));
+    let (shared, inbox) = (Arc::clone(&parts.shared), parts.inbox.clone());
+    thread::spawn(move || follow_store(platform, &shared, &inbox));
+}
--- /dev/null
+++ b/crates/cicadaweird/src/lib.rs
@@ -0,0 +1,32 @@
+//! The daemon of one entry VM.
+//!
+//! One thread runs the `stakker` loop with the packet and peer sockets and
+//! the [`cicadaweir_core::node::Node`]; blocking HTTP (the platform's store
+//! and list, probes of targets, the control endpoint) runs on a few helper
+//! threads that talk to the loop through an [`inbox::Inbox`].
+//!
+//! | module | job |
+//! |---|---|
+//! | [`settings`] | the settings file, checked as a whole |
+//! | [`daemon`] | the loop: events in, actions out |
+//! | [`tunnel`] | Geneve and the inner packet |
+//! | [`socket`] | batched UDP |
+//! | [`platform`] | the store and the membership list, behind one trait |
+//! | [`control`] | the HTTP endpoint that the tool asks |
+//! | [`probe`] | health and load of targets |
+//! | [`metrics`] | statsd |
+//! | [`tracing`] | spans of sampled flows |
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod control;
+pub mod daemon;
+pub mod inbox;
+pub mod metrics;
+pub mod platform;
+pub mod pool;
+pub mod probe;
+pub mod settings;
+pub mod socket;
+pub mod tracing;
+pub mod tunnel;
--- /dev/null
+++ b/crates/cicadaweird/src/tunnel/inner.rs
@@ -0,0 +1,121 @@
+//! What the headers of an inner IP packet say.
+
+use cicadaweir_core::{
+    error::ErrorKind,
+    flow::{Endpoint, FlowKey, Protocol},
+    packet::{Direction, PacketInfo, PacketKind},
+};
+use etherparse::{NetSlice, SlicedPacket, TransportSlice, err::packet::SliceError};
+
+/// Source and destination of an inner packet, before anyone has said which
+/// of them is the caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Inner {
+    /// The transport protocol.
+    pub protocol: Protocol,
+    /// Where the packet comes from.
+    pub source: Endpoint,
+    /// Where the packet goes.
+    pub destination: Endpoint,
+    /// What the transport header says.
+    pub kind: PacketKind,
+    /// The length in bytes.
+    pub bytes: u16,
+}
+
+impl Inner {
+    /// Returns the core's view of the packet.
+    pub const fn info(&self, direction: Direction) -> PacketInfo {
+        let (caller, address) = match direction {
+            Direction::ToTarget => (self.source, self.destination),
+            Direction::ToCaller => (self.destination, self.source),
+        };
+        PacketInfo {
+            flow: FlowKey {
+                protocol: self.protocol,
+                caller,
+                address,
+            },
+            direction,
+            kind: self.kind,
+            bytes: self.bytes,
+        }
+    }
+}
+
+/// Reads the headers of an inner IP packet.
+///
+/// # Errors
+///
+/// [`ErrorKind::PacketTruncated`], [`ErrorKind::PacketFragment`] or
+/// [`ErrorKind::TransportUnsupported`].
+pub fn read(packet: &[u8]) -> Result<Inner, ErrorKind> {
+    let sliced = SlicedPacket::from_ip(packet).map_err(|err| match err {
+        SliceError::Len(_) => ErrorKind::PacketTruncated,
+        _ => ErrorKind::TransportUnsupported,
+    })?;
+    let (source_ip, destination_ip) = addresses(&sliced)?;
+    let (protocol, source_port, destination_port, kind) = match &sliced.transport {
+        Some(TransportSlice::Tcp(tcp)) => (
+            Protocol::Tcp,
+            tcp.source_port(),
+            tcp.destination_port(),
+            tcp_kind(tcp),
+        ),
+        Some(TransportSlice::Udp(udp)) => (
+            Protocol::Udp,
+            udp.source_port(),
+            udp.destination_port(),
+            PacketKind::Datagram,
+        ),
+        _ => return Err(ErrorKind::TransportUnsupported),
+    };
+    Ok(Inner {
+        protocol,
+        source: Endpoint {
+            ip: source_ip,
+            port: source_port,
+        },
+        destination: Endpoint {
+            ip: destination_ip,
+            port: destination_port,
+        },
+        kind,
+        bytes: packet.len().min(usize::from(u16::MAX)) as u16,
+    })
+}
+
+fn addresses(sliced: &SlicedPacket<'_>) -> Result<([u8; 16], [u8; 16]), ErrorKind> {
+    match &sliced.net {
+        Some(NetSlice::Ipv4(ip)) => {
+            if ip.header().is_fragmenting_payload() {
+                return Err(ErrorKind::PacketFragment);
+            }
+            let mapped = |a: std::net::Ipv4Addr| a.to_ipv6_mapped().octets();
+            let header = ip.header();
+            Ok((
+                mapped(header.source_addr()),
+                mapped(header.destination_addr()),
+            ))
+        }
+        Some(NetSlice::Ipv6(ip)) => {
+            if ip.is_payload_fragmented() {
+                return Err(ErrorKind::PacketFragment);
+            }
+            let header = ip.header();
+            Ok((header.source(), header.destination()))
+        }
+        _ => Err(ErrorKind::TransportUnsupported),
+    }
+}
+
+fn tcp_kind(tcp: &etherparse::TcpSlice<'_>) -> PacketKind {
+    match (tcp.rst(), tcp.syn(), tcp.ack(), tcp.fin()) {
+        (true, ..) => PacketKind::Reset,
+        (_, true, false, _) => PacketKind::Opening,
+        (_, true, true, _) => PacketKind::OpeningAnswer,
+        (.., true) => PacketKind::Closing,
+        _ if tcp.payload().is_empty() => PacketKind::Acknowledgement,
+        _ => PacketKind::Data,
+    }
+}
