feat: try the decisions in virtual time, with 22 scenarios for both deployments

Cause: no decision had been measured. Change: cicadaweir-lab drives real nodes from a queue of events, with links, targets and callers that misbehave, and counts broken invariants apart from quality.

--- /dev/null
+++ b/crates/cicadaweir-lab/src/lib.rs
@@ -0,0 +1,14 @@
+//! Experiments on the decisions, in virtual time and from seeds.
+//!
+//! A [`world::World`] is a queue of events around real
+//! [`cicadaweir_core::node::Node`]s: links with delay and loss, targets with
+//! slots and connections, callers that repeat what is lost. A
+//! [`scenario::Scenario`] names a deployment, its load and its faults; running
+//! it gives a [`measure::Measures`], in which broken invariants are kept apart
+//! from missed quality targets.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod measure;
+pub mod scenario;
+pub mod world;
--- /dev/null
+++ b/crates/cicadaweir-lab/src/main.rs
@@ -0,0 +1,155 @@
+//! The lab's program.
+
+use std::{
+    process::ExitCode,
+    sync::{
+        Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use bpaf::Bpaf;
+use cicadaweir_core::route::Policy;
+use cicadaweir_lab::{
+    measure::Measures,
+    scenario::{Deployment, Scenario, all},
+};
+
+/// Experiments on the decisions of cicadaweir, in virtual time.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    /// Runs scenarios and prints a table
+    #[bpaf(command)]
+    Scenarios {
+        /// Only scenarios whose name contains this
+        #[bpaf(argument("NAME"), fallback(String::new()))]
+        only: String,
+        /// Seeds for each scenario
+        #[bpaf(argument("N"), fallback(2))]
+        seeds: u64,
+        /// Compare with the baselines
+        baselines: bool,
+    },
+}
+
+fn main() -> ExitCode {
+    match command().run() {
+        Command::Scenarios {
+            only,
+            seeds,
+            baselines,
+        } => scenarios(&only, seeds, baselines),
+    }
+}
+
+fn scenarios(only: &str, seeds: u64, baselines: bool) -> ExitCode {
+    println!(
+        "{:<22} {:<14} {:<14} {:>7} {:>6} {:>7} {:>6} {:>6} {:>8} {:>7} {:>6} {:>7} {:>7} {:>6}  invariants",
+        "scenario",
+        "deployment",
+        "policy",
+        "opened",
+        "broken",
+        "refused",
+        "unansw",
+        "twice",
+        "p99 ms",
+        "imbal",
+        "B/s",
+        "relay%",
+        "note ms",
+        "good%"
+    );
+    let policies: &[Policy] = if baselines {
+        &Policy::ALL
+    } else {
+        &[Policy::Owned]
+    };
+    let mut intact = true;
+    let mut jobs = Vec::new();
+    for scenario in all().into_iter().filter(|s| s.name.contains(only)) {
+        for deployment in Deployment::ALL {
+            for &policy in policies {
+                jobs.push(Job {
+                    scenario: scenario.clone(),
+                    deployment,
+                    policy,
+                });
+            }
+        }
+    }
+    for (job, sum) in jobs.iter().zip(run_all(&jobs, seeds)) {
+        print_row(&job.scenario, job.deployment, job.policy, &sum, seeds);
+        intact &= job.policy != Policy::Owned || sum.broken_invariants.is_empty();
+    }
+    if intact {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+/// One row of the table.
+struct Job {
+    scenario: Scenario,
+    deployment: Deployment,
+    policy: Policy,
+}
+
+/// Runs every job with every seed, as many at once as there are processors.
+fn run_all(jobs: &[Job], seeds: u64) -> Vec<Measures> {
+    let next = AtomicUsize::new(0);
+    let runs = jobs.len() * seeds as usize;
+    let sums: Vec<Mutex<Measures>> = jobs.iter().map(|_| Mutex::default()).collect();
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                loop {
+                    let at = next.fetch_add(1, Ordering::Relaxed);
+                    if at >= runs {
+                        return;
+                    }
+                    let job = &jobs[at / seeds as usize];
+                    let seed = 1 + at as u64 % seeds;
+                    let run = job.scenario.run(job.deployment, job.policy, seed);
+                    let mut sum = sums[at / seeds as usize].lock().expect("no run panics");
+                    sum.add(&run);
+                }
+            });
+        }
+    });
+    let inner = |sum: Mutex<Measures>| sum.into_inner().expect("no run panics");
+    sums.into_iter().map(inner).collect()
+}
+
+fn print_row(
+    scenario: &Scenario,
+    deployment: Deployment,
+    policy: Policy,
+    m: &Measures,
+    seeds: u64,
+) {
+    let relay = 100.0 * m.relayed as f64 / (m.forwarded.max(1)) as f64;
+    let good =
+        100.0 * m.good_in_surge as f64 / (u64::from(scenario.load.surge).max(1) * seeds) as f64;
+    println!(
+        "{:<22} {:<14} {:<14} {:>7} {:>6} {:>7} {:>6} {:>6} {:>8.1} {:>7.3} {:>6.0} {:>7.2} {:>7} {:>6.1}  {:?}",
+        scenario.name,
+        deployment.name(),
+        policy.name(),
+        m.opened,
+        m.broken,
+        m.refused,
+        m.unanswered,
+        m.opened_twice,
+        m.times.value_at_quantile(0.99) as f64 / 1e3,
+        m.imbalance / seeds as f64,
+        m.control_rate(),
+        relay,
+        m.slowest_note().as_millis(),
+        good,
+        m.broken_invariants,
+    );
+}
--- /dev/null
+++ b/crates/cicadaweir-lab/src/scenario/set.rs
@@ -0,0 +1,226 @@
+//! The scenarios.
+
+use cicadaweir_core::{
+    catalog::ZoneId,
+    route::Policy,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    measure::Measures,
+    world::{Behaviour, Fault, Happening, World},
+};
+
+use super::{Deployment, Load};
+
+/// One experiment.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Scenario {
+    /// The name.
+    pub name: &'static str,
+    /// Whether everything that happens is a planned change, so that no flow
+    /// may break.
+    pub planned: bool,
+    /// The load.
+    pub load: Load,
+    /// Faults by the second at which they begin.
+    pub faults: Vec<(f64, Fault)>,
+    /// How long it runs.
+    pub run: Duration,
+}
+
+impl Scenario {
+    fn new(name: &'static str, planned: bool, faults: Vec<(f64, Fault)>) -> Self {
+        Self {
+            name,
+            planned,
+            load: Load::default(),
+            faults,
+            run: Duration::from_secs(60),
+        }
+    }
+
+    fn surge(name: &'static str, boards: u32) -> Self {
+        Self {
+            load: Load {
+                boards: 0,
+                visits: 5,
+                bookings: 5,
+                surge: boards,
+                surge_at: Duration::from_secs(10),
+                surge_span: Duration::from_secs(5),
+                pause: Duration::from_secs(600),
+            },
+            run: Duration::from_secs(40),
+            ..Self::new(name, false, Vec::new())
+        }
+    }
+
+    /// Runs the scenario.
+    pub fn run(&self, deployment: Deployment, policy: Policy, seed: u64) -> Measures {
+        self.run_world(deployment, policy, seed).measures
+    }
+
+    /// Runs the scenario and returns the world as it ends.
+    pub fn run_world(&self, deployment: Deployment, policy: Policy, seed: u64) -> World {
+        let mut options = deployment.options(seed);
+        options.node.policy = policy;
+        let mut world = World::new(options);
+        self.load.add_to(&mut world, seed, self.run);
+        for &(second, fault) in &self.faults {
+            let at = Instant::from_micros((second * 1e6) as u64);
+            world.at(at, Happening::Fault(fault));
+        }
+        world.run_until(Instant::START + self.run);
+        world.finish();
+        world
+    }
+}
+
+/// Returns every scenario.
+pub fn all() -> Vec<Scenario> {
+    let rolling = (0..8).flat_map(|at| {
+        let second = 14.0 + 5.0 * at as f64;
+        [
+            (second, Fault::Leave(at)),
+            (second + 2.5, Fault::Crash(at)),
+            (second + 3.0, Fault::Start(at)),
+        ]
+    });
+    let note_in_hand_over = vec![
+        (15.0, Fault::AddTarget(0)),
+        (25.0, Fault::Leave(2)),
+        (25.3, Fault::WithdrawTarget(0)),
+        (28.0, Fault::Crash(2)),
+    ];
+    vec![
+        Scenario::new("steady", true, vec![]),
+        Scenario::new(
+            "notes",
+            true,
+            vec![
+                (15.0, Fault::AddTarget(0)),
+                (22.0, Fault::WithdrawTarget(0)),
+                (29.0, Fault::AddTarget(1)),
+                (36.0, Fault::WithdrawTarget(1)),
+            ],
+        ),
+        Scenario::new(
+            "planned-stop",
+            true,
+            vec![
+                (15.0, Fault::AddTarget(0)),
+                (25.0, Fault::Leave(2)),
+                (28.0, Fault::Crash(2)),
+                (30.0, Fault::Start(2)),
+            ],
+        ),
+        Scenario {
+            run: Duration::from_secs(75),
+            ..Scenario::new(
+                "rolling-replacement",
+                true,
+                [(13.0, Fault::AddTarget(0))]
+                    .into_iter()
+                    .chain(rolling)
+                    .collect(),
+            )
+        },
+        Scenario::new("note-in-hand-over", true, note_in_hand_over),
+        Scenario::new("crash", false, vec![(25.0, Fault::Crash(2))]),
+        Scenario::new(
+            "crash-after-note",
+            false,
+            vec![(15.0, Fault::AddTarget(0)), (25.0, Fault::Crash(2))],
+        ),
+        Scenario::new(
+            "two-crashes-after-note",
+            false,
+            vec![
+                (15.0, Fault::AddTarget(0)),
+                (25.0, Fault::Crash(2)),
+                (25.0, Fault::Crash(4)),
+            ],
+        ),
+        Scenario::new(
+            "successor-crash",
+            false,
+            vec![
+                (15.0, Fault::AddTarget(0)),
+                (25.0, Fault::Leave(2)),
+                (25.8, Fault::Crash(4)),
+                (28.0, Fault::Crash(2)),
+            ],
+        ),
+        Scenario::new(
+            "pause",
+            false,
+            vec![
+                (15.0, Fault::AddTarget(0)),
+                (24.0, Fault::Pause(3, Duration::from_secs(5))),
+                (25.0, Fault::WithdrawTarget(0)),
+            ],
+        ),
+        Scenario::new(
+            "zone-cut",
+            false,
+            vec![(25.0, Fault::CutZone(ZoneId(1))), (33.0, Fault::Mend)],
+        ),
+        Scenario::new(
+            "zone-cut-and-note",
+            false,
+            vec![
+                (25.0, Fault::CutZone(ZoneId(1))),
+                (26.0, Fault::AddTarget(0)),
+                (33.0, Fault::Mend),
+            ],
+        ),
+        Scenario::new(
+            "one-way-cut",
+            false,
+            vec![
+                (15.0, Fault::AddTarget(0)),
+                (25.0, Fault::CutOneWay(ZoneId(0), ZoneId(1))),
+                (33.0, Fault::Mend),
+            ],
+        ),
+        Scenario::new(
+            "store-outage",
+            true,
+            vec![
+                (15.0, Fault::StoreDown),
+                (20.0, Fault::Leave(1)),
+                (23.0, Fault::Crash(1)),
+                (24.0, Fault::Start(1)),
+                (40.0, Fault::StoreUp),
+            ],
+        ),
+        Scenario::new(
+            "target-crash",
+            false,
+            vec![
+                (25.0, Fault::Behave(3, Behaviour::Crashed)),
+                (40.0, Fault::Behave(3, Behaviour::Good)),
+            ],
+        ),
+        Scenario::new(
+            "target-mute",
+            false,
+            vec![(20.0, Fault::Behave(3, Behaviour::Mute))],
+        ),
+        Scenario::new(
+            "target-says-idle",
+            false,
+            vec![(15.0, Fault::Behave(3, Behaviour::SaysIdle))],
+        ),
+        Scenario::new(
+            "target-slow",
+            false,
+            vec![(15.0, Fault::Behave(3, Behaviour::Slow(20)))],
+        ),
+        Scenario::new("silent-flows", false, vec![(20.0, Fault::LoseFlows(50))]),
+        Scenario::surge("surge-1x", 14_000),
+        Scenario::surge("surge-2x", 28_000),
+        Scenario::surge("surge-3x", 42_000),
+    ]
+}
--- /dev/null
+++ b/crates/cicadaweir-lab/src/world.rs
@@ -0,0 +1,18 @@
+//! Nodes, links, targets and callers in one queue of events.
+
+mod act;
+mod caller;
+mod event;
+mod faults;
+mod link;
+mod options;
+mod run;
+mod target;
+
+pub use caller::{Caller, CallerKind, CallerState};
+pub use event::Happening;
+pub use faults::Fault;
+pub use link::Links;
+pub use options::{Options, ServiceOptions};
+pub use run::World;
+pub use target::{Behaviour, Target};
--- /dev/null
+++ b/crates/cicadaweir-lab/src/world/options.rs
@@ -0,0 +1,72 @@
+//! The size of a world.
+
+use cicadaweir_core::{node, time::Duration};
+
+/// One service of a world.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceOptions {
+    /// The name.
+    pub name: String,
+    /// How many targets it starts with.
+    pub targets: u16,
+    /// The most connections of a target.
+    pub connections: u32,
+    /// Requests that a target works on at once.
+    pub slots: u16,
+    /// How long a request takes a slot, on average.
+    pub work: Duration,
+}
+
+/// The size of a world.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Options {
+    /// The seed of everything random.
+    pub seed: u64,
+    /// Entry VMs at the start.
+    pub entry_vms: u32,
+    /// Availability zones.
+    pub zones: u16,
+    /// The delay between two zones, one way.
+    pub zone_delay: Duration,
+    /// The delay between callers and entry VMs, one way.
+    pub caller_delay: Duration,
+    /// The delay within a zone, one way.
+    pub local_delay: Duration,
+    /// The part of packets and messages that a link between zones loses.
+    pub loss: f64,
+    /// The services.
+    pub services: Vec<ServiceOptions>,
+    /// The options of every node.
+    pub node: node::Options,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            entry_vms: 9,
+            zones: 3,
+            zone_delay: Duration::from_millis(5),
+            caller_delay: Duration::from_millis(1),
+            local_delay: Duration::from_micros(200),
+            loss: 0.001,
+            services: vec![
+                ServiceOptions {
+                    name: "board".to_owned(),
+                    targets: 14,
+                    connections: 2_000,
+                    slots: 2,
+                    work: Duration::from_millis(10),
+                },
+                ServiceOptions {
+                    name: "sheet".to_owned(),
+                    targets: 4,
+                    connections: 2_000,
+                    slots: 2,
+                    work: Duration::from_millis(10),
+                },
+            ],
+            node: node::Options::default(),
+        }
+    }
+}
