fix: refuse by room of loaded targets only, and only where nothing was delivered

A repeated opening that met a refusal at another entry VM was refused after its delivery. Two faults of the lab hid this: a repetition timer made boards ask twice a second, and targets did not repeat lost answers. Change: a target that reports little load takes what comes, up to a burst an interval; a loaded one divides its room by the last report. An entry VM that can't know what others delivered defers an opening without a word; only the owner of a bucket whose target has been hot for 3 s refuses. Ruled out: a longer report age alone (a dead prober would then grant room for as long).

--- a/crates/cicadaweir-core/src/error.rs
+++ b/crates/cicadaweir-core/src/error.rs
@@ -34,8 +34,12 @@
     Behind,
     /// The service has no target that takes new work.
     NoTarget,
-    /// The targets' capacity is used up.
+    /// The targets' capacity is used up, and nothing of the flow can have
+    /// been delivered.
     Overloaded,
+    /// The target's capacity is used up for the moment; the caller's own
+    /// repetition tries again.
+    Deferred,
     /// The flow table is full.
     TableFull,
     /// The memory for packets that wait is used up.
@@ -69,7 +73,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::PacketTruncated,
         Self::PacketOversized,
         Self::PacketFragment,
@@ -85,6 +89,7 @@
         Self::Behind,
         Self::NoTarget,
         Self::Overloaded,
+        Self::Deferred,
         Self::TableFull,
         Self::QueueFull,
         Self::NoteInvalid,
@@ -107,6 +112,7 @@
             | Self::RelayHops
             | Self::LookupTimeout
             | Self::Behind
+            | Self::Deferred
             | Self::QueueFull => Answer::Discard,
             Self::NoTarget | Self::Overloaded | Self::TableFull => Answer::Refuse,
             Self::PeerUnknown | Self::PeerVersion | Self::PeerMalformed | Self::StoreMalformed => {
@@ -137,6 +143,7 @@
             Self::Behind => "behind",
             Self::NoTarget => "no_target",
             Self::Overloaded => "overloaded",
+            Self::Deferred => "deferred",
             Self::TableFull => "table_full",
             Self::QueueFull => "queue_full",
             Self::NoteInvalid => "note_invalid",
--- a/crates/cicadaweir-core/src/load.rs
+++ b/crates/cicadaweir-core/src/load.rs
@@ -7,7 +7,7 @@
 mod passive;
 mod report;
 
-pub use admission::Admission;
+pub use admission::{Admission, Limits, is_loaded, pending_goal};
 pub use judge::Judge;
 pub use mark::{Mark, MarkUpdate};
 pub use options::Options;
--- a/crates/cicadaweir-core/src/load/judge.rs
+++ b/crates/cicadaweir-core/src/load/judge.rs
@@ -1,8 +1,11 @@
 //! The prober's verdict on one target.
 
-use crate::time::{Duration, Instant};
+use crate::{
+    catalog::TargetKey,
+    time::{Duration, Instant},
+};
 
-use super::{Mark, Options, Passive, ProbeResult, Report};
+use super::{Limits, LoadUpdate, Mark, Options, Passive, ProbeResult, Report, pending_goal};
 
 /// The longest that a target which was silent to callers stays down.
 const LONGEST_HOLD: Duration = Duration::from_secs(320);
@@ -26,7 +29,7 @@
         now: Instant,
         result: ProbeResult,
         mark: Mark,
-        connections: u32,
+        limits: Limits,
         passive: &mut Passive,
         options: &Options,
     ) -> Mark {
@@ -49,7 +52,7 @@
             return Mark::Down;
         }
         match result {
-            ProbeResult::Healthy(report) => self.mark_of(now, mark, &report, connections, options),
+            ProbeResult::Healthy(report) => self.mark_of(now, mark, &report, limits, options),
             ProbeResult::Unhealthy | ProbeResult::Silent => mark,
         }
     }
@@ -83,10 +86,10 @@
         now: Instant,
         mark: Mark,
         report: &Report,
-        connections: u32,
+        limits: Limits,
         options: &Options,
     ) -> Mark {
-        let used = f64::from(report.open) / f64::from(connections.max(1));
+        let used = self.used(report, limits, options);
         match mark {
             _ if report.draining => Mark::Down,
             Mark::Down if self.held_until.is_some_and(|until| now < until) => Mark::Down,
@@ -111,6 +114,21 @@
         }
     }
 
+    /// Returns how much of a target's connections or bearable queue is used,
+    /// whichever is more.
+    fn used(&self, report: &Report, limits: Limits, options: &Options) -> f64 {
+        let load = LoadUpdate {
+            target: TargetKey(0),
+            version: 0,
+            open: report.open,
+            pending: report.pending,
+            rate: self.rate.round() as u32,
+        };
+        let connections = f64::from(report.open) / f64::from(limits.connections.max(1));
+        let pending = f64::from(report.pending) / pending_goal(&load, limits, options);
+        connections.max(pending)
+    }
+
     /// Returns the requests completed in a second, as reported.
     pub const fn rate(&self) -> f64 {
         self.rate
--- a/crates/cicadaweir-core/src/load/options.rs
+++ b/crates/cicadaweir-core/src/load/options.rs
@@ -24,6 +24,14 @@
     pub longest_wait: Duration,
     /// How long a report counts.
     pub report_age: Duration,
+    /// The part of a target's connections that may be opened within one probe
+    /// interval while nothing is known to be wrong.
+    pub burst: f64,
+    /// The part of connections in use above which loads are published.
+    pub loaded: f64,
+    /// How long a mark must be known before openings are refused: longer
+    /// than most callers wait before they repeat an opening.
+    pub refuse_after: Duration,
     /// How long a mark must be known before flows deviate because of load.
     pub settle: Duration,
     /// Openings seen in a window before their answers are judged.
@@ -50,6 +58,9 @@
             pending_per_slot: 32,
             longest_wait: Duration::from_millis(500),
             report_age: Duration::from_secs(2),
+            burst: 0.125,
+            loaded: 0.5,
+            refuse_after: Duration::from_millis(3_000),
             settle: Duration::from_millis(1_500),
             passive_openings: 24,
             passive_answered: 0.2,
--- a/crates/cicadaweir-core/src/node/health.rs
+++ b/crates/cicadaweir-core/src/node/health.rs
@@ -61,16 +61,17 @@
     }
 
     pub(super) fn probed(&mut self, now: Instant, target: TargetKey, result: ProbeResult) {
-        let Some(state) = self.targets.get_mut(target.0 as usize) else {
+        if target.0 as usize >= self.targets.len() {
             return;
-        };
-        let spec = &self.catalog.target(target).spec;
+        }
+        let limits = self.limits(target);
+        let state = &mut self.targets[target.0 as usize];
         let mark = self.catalog.target(target).mark;
         let next = state.judge.probed(
             now,
             result,
             mark,
-            spec.connections,
+            limits,
             &mut state.passive,
             &self.options.load,
         );
--- a/crates/cicadaweir-core/src/node/loads.rs
+++ b/crates/cicadaweir-core/src/node/loads.rs
@@ -1,19 +1,17 @@
 //! Loads of targets: published by probers, spread, spent by owners.
 
 use crate::{
-    load::{LoadUpdate, Report},
+    load::{Limits, LoadUpdate, Report, is_loaded},
     prelude::*,
 };
 
 use super::Node;
 
-/// A change of open connections, as a part of the limit, that is news.
-const OPEN_STEP: u32 = 16;
-
 impl Node {
-    /// Publishes a report if it says anything new.
+    /// Publishes a report while it limits openings, and once when it no
+    /// longer does.
     pub(super) fn publish_load(&mut self, now: Instant, target: TargetKey, report: Report) {
-        let connections = self.catalog.target(target).spec.connections;
+        let limits = self.limits(target);
         let state = &mut self.targets[target.0 as usize];
         let update = LoadUpdate {
             target,
@@ -22,9 +20,10 @@
             pending: report.pending,
             rate: state.judge.rate().round() as u32,
         };
-        let last = state.admission.last_report().copied();
-        let changed = last.is_none_or(|last| is_news(&last, &update, connections));
-        if !changed && report.pending == 0 {
+        let options = &self.options.load;
+        let last = state.admission.last_report();
+        let was_loaded = last.is_some_and(|last| is_loaded(last, limits, options));
+        if !was_loaded && !is_loaded(&update, limits, options) {
             return;
         }
         state.load_version = update.version;
@@ -32,6 +31,14 @@
         self.queue_load(target);
     }
 
+    pub(super) fn limits(&self, target: TargetKey) -> Limits {
+        let spec = &self.catalog.target(target).spec;
+        Limits {
+            connections: spec.connections,
+            slots: spec.slots,
+        }
+    }
+
     fn queue_load(&mut self, target: TargetKey) {
         let sends = self.news_transmissions();
         self.load_news.insert(target, sends);
@@ -63,27 +70,21 @@
     }
 
     pub(super) fn admits(&self, now: Instant, target: TargetKey) -> bool {
-        let spec = &self.catalog.target(target).spec;
-        let state = &self.targets[target.0 as usize];
-        state.admission.admits(
-            now,
-            spec.connections,
-            spec.slots,
-            self.view.owners(),
-            &self.options.load,
-        )
+        let admission = &self.targets[target.0 as usize].admission;
+        let members = self.view.owners();
+        admission.admits(now, self.limits(target), members, &self.options.load)
     }
 
-    pub(super) fn count_placed(&mut self, target: TargetKey) {
+    pub(super) fn count_placed(&mut self, now: Instant, target: TargetKey) {
         let state = &mut self.targets[target.0 as usize];
-        state.admission.place();
+        state.admission.place(now, &self.options.load);
         state.passive.opening();
     }
 
     pub(super) fn fullness(&self, target: TargetKey) -> f64 {
-        let connections = self.catalog.target(target).spec.connections;
-        let state = &self.targets[target.0 as usize];
-        state.admission.fullness(connections, self.view.owners())
+        let admission = &self.targets[target.0 as usize].admission;
+        let members = self.view.owners();
+        admission.fullness(self.limits(target), members, &self.options.load)
     }
 
     /// Returns the connections that a target last reported.
@@ -92,11 +93,3 @@
         state.admission.last_report().map_or(0, |r| r.open)
     }
 }
-
-/// Returns whether a load differs enough from the last published one.
-fn is_news(last: &LoadUpdate, next: &LoadUpdate, connections: u32) -> bool {
-    let step = (connections / OPEN_STEP).max(1);
-    next.open.abs_diff(last.open) >= step
-        || next.pending != last.pending
-        || next.rate.abs_diff(last.rate) * 4 > last.rate.max(4)
-}
--- a/crates/cicadaweir-core/src/node/placing.rs
+++ b/crates/cicadaweir-core/src/node/placing.rs
@@ -35,7 +35,7 @@
         if let Some(kind) = self.refusal(now, arrival, target) {
             return Decision::Error(kind);
         }
-        self.count_placed(target);
+        self.count_placed(now, target);
         Decision::Target(target, Reason::Unambiguous)
     }
 
@@ -72,7 +72,7 @@
         if let Some(kind) = self.refusal(now, arrival, target) {
             return Decision::Error(kind);
         }
-        self.count_placed(target);
+        self.count_placed(now, target);
         if target == primary {
             Decision::Target(target, Reason::Placed)
         } else {
@@ -134,10 +134,23 @@
         if service.withdrawn.is_some_and(|at| at <= agreed) {
             return Some(ErrorKind::NoTarget);
         }
-        if self.options.load.refuse && !self.admits(now, target) {
+        if !self.options.load.refuse || self.admits(now, target) {
+            return None;
+        }
+        if self.may_refuse(now, target) {
             return Some(ErrorKind::Overloaded);
         }
-        None
+        Some(ErrorKind::Deferred)
+    }
+
+    /// Returns whether nothing of an unknown flow can have been delivered to
+    /// a full target: its openings have passed through their owners for
+    /// longer than callers wait before they repeat one.
+    fn may_refuse(&self, now: Instant, target: TargetKey) -> bool {
+        let state = &self.targets[target.0 as usize];
+        let known_for = now.since(state.marked_since);
+        let mark = self.catalog.target(target).mark;
+        mark == Mark::Hot && known_for >= self.options.load.refuse_after
     }
 
     /// Places a flow as one of the baselines would.
--- a/crates/cicadaweir-lab/src/scenario/load.rs
+++ b/crates/cicadaweir-lab/src/scenario/load.rs
@@ -104,7 +104,7 @@
         kind,
         state: CallerState::Away,
         since: Instant::START,
-        patience: Duration::from_secs(30),
+        due: Instant::START,
         tries: 0,
         asked: 0,
         target: None,
--- a/crates/cicadaweir-lab/src/world/act.rs
+++ b/crates/cicadaweir-lab/src/world/act.rs
@@ -10,6 +10,9 @@
     Behaviour, CallerKind, CallerState, Fault, Happening, World, event::Packet, run::SURGE_DEADLINE,
 };
 
+/// The packet number of a reset that refuses an opening.
+const REFUSAL: u32 = 1;
+
 /// After how long a withdrawn target may get no new work.
 const WITHDRAWAL_BOUND: Duration = Duration::from_secs(3);
 
@@ -106,9 +109,8 @@
             Action::Discard { packet, .. } => {
                 self.vms[at].held.swap_remove(&packet);
             }
-            Action::Refuse { packet, .. } | Action::ResetCaller { packet } => {
-                self.reset_caller(at, packet);
-            }
+            Action::Refuse { packet, .. } => self.reset_caller(at, packet, REFUSAL),
+            Action::ResetCaller { packet } => self.reset_caller(at, packet, 0),
             Action::Send { to, message } => self.send(at, to, message),
             Action::ProbeTarget { target } => self.probe(at, target),
             Action::WatchStore { on } => {
@@ -176,7 +178,7 @@
         );
     }
 
-    fn reset_caller(&mut self, at: usize, packet: PacketRef) {
+    fn reset_caller(&mut self, at: usize, packet: PacketRef, number: u32) {
         let Some(packet) = self.vms[at].held.swap_remove(&packet) else {
             return;
         };
@@ -184,6 +186,7 @@
             self.measures.silence.push(self.now.since(*since));
         }
         let mut packet = packet;
+        packet.number = number;
         packet.info.kind = PacketKind::Reset;
         packet.info.direction = Direction::ToCaller;
         self.after(
@@ -377,14 +380,17 @@
         self.answer(at, packet, PacketKind::OpeningAnswer);
     }
 
-    /// Queues a request; one that the target has seen already is ignored, as
-    /// a repeated segment or datagram is.
+    /// Queues a request; one that the target has seen already is not run
+    /// again, and its answer is repeated.
     fn request(&mut self, at: usize, packet: Packet) {
-        let key = packet.identity << 8 | (at as u64 & 0xff);
-        if self.ran.contains_key(&key) {
+        let key = request_key(at, &packet);
+        if let Some(&completed) = self.ran.get(&key) {
+            if completed {
+                self.answer_request(at, packet);
+            }
             return;
         }
-        self.ran.insert(key, 1);
+        self.ran.insert(key, false);
         let elsewhere = self.callers[packet.caller as usize].delivered_to.len() > 1;
         if elsewhere && self.ran_elsewhere(at, packet) {
             self.measures.violate(Invariant::RanTwice);
@@ -423,12 +429,17 @@
             return;
         }
         target.completed += 1;
+        self.ran.insert(request_key(at, &packet), true);
+        self.answer_request(at, packet);
+        self.start_work(at);
+    }
+
+    fn answer_request(&mut self, at: usize, packet: Packet) {
         let kind = match packet.info.kind {
             PacketKind::Datagram => PacketKind::Datagram,
             _ => PacketKind::Data,
         };
         self.answer(at, packet, kind);
-        self.start_work(at);
     }
 
     /// Sends an answer through any node.
@@ -505,7 +516,7 @@
                 self.send_first(index);
             }
             CallerState::Opening => self.repeat(index),
-            CallerState::Quiet => {
+            CallerState::Quiet if self.now >= caller.due => {
                 caller.asked += 1;
                 caller.since = self.now;
                 caller.tries = 1;
@@ -579,6 +590,9 @@
                     self.measures.violate(Invariant::RefusedAfterDelivery);
                 }
             }
+            // The reset that refuses an opening has the sequence number 0,
+            // which an established flow ignores (RFC 9293, section 3.10.7.4).
+            (PacketKind::Reset, _) if packet.number == REFUSAL => {}
             (PacketKind::Reset, CallerState::Quiet | CallerState::Waiting) => {
                 caller.state = CallerState::Broken;
                 if self.lost_flows.contains_key(&index) {
@@ -622,6 +636,7 @@
                 let mean = pause.as_micros();
                 let next = mean / 2 + self.random.next_u64() % (mean + 1);
                 let pause = Duration::from_micros(next);
+                caller.due = now + pause;
                 self.after(pause, Happening::Caller { caller: index });
             }
             CallerKind::Visit => {
@@ -728,3 +743,8 @@
         self.measures.broken += unfinished.count() as u64;
     }
 }
+
+/// Returns the key under which a target remembers a request.
+fn request_key(target: usize, packet: &Packet) -> u64 {
+    packet.identity << 8 | (target as u64 & 0xff)
+}
--- a/crates/cicadaweir-lab/src/world/caller.rs
+++ b/crates/cicadaweir-lab/src/world/caller.rs
@@ -51,8 +51,8 @@
     pub state: CallerState,
     /// When the present step began.
     pub since: Instant,
-    /// When it wants to give up.
-    pub patience: Duration,
+    /// When its next request is due.
+    pub due: Instant,
     /// Tries of the present step.
     pub tries: u32,
     /// Requests made so far.
--- a/crates/cicadaweir-lab/src/world/run.rs
+++ b/crates/cicadaweir-lab/src/world/run.rs
@@ -59,7 +59,8 @@
     pub(super) callers: Vec<Caller>,
     pub(super) published: Vec<Published>,
     pub(super) store_up: bool,
-    pub(super) ran: IndexMap<u64, u32>,
+    /// Requests that targets have seen, and whether they are completed.
+    pub(super) ran: IndexMap<u64, bool>,
     pub(super) lost_flows: IndexMap<u32, Instant>,
     pub(super) surge_from: Option<Instant>,
     /// What has been measured so far.
