fix: suspect silence only of flows whose caller repeats a segment

Change: packets carry their sequence number; a flow is suspected only after the same segment came twice and no answer followed here, and the others are asked for answers since that segment. Ruled out: a higher count of unanswered packets (a long quiet flow reaches any count), and a longer limit (the pause between requests is longer). Conclusion: repetition, not quiet, shows silence. Half of the lost flows are still found too late: the entry VM that knows does not see the next packet.

--- a/crates/cicadaweir-core/src/catalog.rs
+++ b/crates/cicadaweir-core/src/catalog.rs
@@ -14,3 +14,7 @@
 pub use note::{AddressSpec, Change, ReleaseNote, ServiceSpec, TargetSpec};
 pub use service::Service;
 pub use target::Target;
+
+/// The most addresses of a catalog, withdrawn services' included; an entry
+/// of the flow table holds an address in 16 bits.
+pub const MOST_ADDRESSES: usize = 1 << 16;
--- a/crates/cicadaweir-core/src/catalog/apply.rs
+++ b/crates/cicadaweir-core/src/catalog/apply.rs
@@ -3,8 +3,8 @@
 use crate::{hash, load::Mark, placement};
 
 use super::{
-    AddressKey, Catalog, Change, NoteError, ReleaseNote, Service, ServiceKey, ServiceSpec, Target,
-    TargetKey, TargetSpec,
+    AddressKey, Catalog, Change, MOST_ADDRESSES, NoteError, ReleaseNote, Service, ServiceKey,
+    ServiceSpec, Target, TargetKey, TargetSpec,
 };
 
 const MOST_WEIGHT: u16 = 1000;
@@ -91,6 +91,9 @@
                 let owner = self.service(owner).name.clone();
                 return Err(NoteError::AddressTaken(*address, owner));
             }
+            if self.addresses.len() >= MOST_ADDRESSES {
+                return Err(NoteError::TooManyAddresses);
+            }
             let (at, _) = self.addresses.insert_full(*address, key);
             self.services[key.0 as usize]
                 .addresses
--- a/crates/cicadaweir-core/src/catalog/error.rs
+++ b/crates/cicadaweir-core/src/catalog/error.rs
@@ -43,6 +43,8 @@
     /// A name is empty, longer than 63 bytes, or has other characters than
     /// letters, digits, `-`, `_` and `.`.
     NameInvalid(String),
+    /// The catalog has as many addresses as it may.
+    TooManyAddresses,
     /// The note changes nothing.
     Empty,
 }
@@ -108,6 +110,11 @@
                 f,
                 "name {name:?} is not 1 to 63 letters, digits, '-', '_' or '.'"
             ),
+            Self::TooManyAddresses => write!(
+                f,
+                "there would be more than {} addresses",
+                super::MOST_ADDRESSES
+            ),
             Self::Empty => f.write_str("the note changes nothing"),
         }
     }
--- a/crates/cicadaweir-core/src/flow/entry.rs
+++ b/crates/cicadaweir-core/src/flow/entry.rs
@@ -20,6 +20,10 @@
     /// The target went silent: the caller's next packet is answered by a
     /// reset.
     pub const BROKEN: Self = Self(16);
+    /// The caller has sent data that no answer seen here has followed.
+    pub const ASKED: Self = Self(32);
+    /// The caller has repeated such data.
+    pub const REPEATED: Self = Self(64);
 
     /// Returns whether all bits of `other` are set.
     pub const fn contains(self, other: Self) -> bool {
@@ -46,15 +50,18 @@
     pub(super) flow_hash: u64,
     pub(super) caller_ip: [u8; 16],
     pub(super) caller_port: u16,
-    pub(super) address: AddressKey,
+    pub(super) address: u16,
     /// The target that the flow's packets go to.
     pub target: TargetKey,
     /// The time of the last packet from the caller, in [`super::table::TICK`]s.
     pub(super) caller_seen: u32,
     /// The time of the last packet from the target, in [`super::table::TICK`]s.
     pub(super) target_seen: u32,
-    /// Data packets of the caller since the last answer, saturating.
-    pub unanswered: u16,
+    /// The sequence number of the caller's last data.
+    pub(super) sequence: u32,
+    /// The time of the first data that no answer seen here has followed, in
+    /// the low 16 bits of [`super::table::TICK`]s.
+    pub(super) asked: u16,
     /// How far the flow has come.
     pub state: FlowState,
     /// What else is known.
@@ -69,7 +76,7 @@
 
     /// Returns the service's address.
     pub const fn address(&self) -> AddressKey {
-        self.address
+        AddressKey(self.address as u32)
     }
 
     /// Returns the address and port of the caller.
--- a/crates/cicadaweir-core/src/flow/table.rs
+++ b/crates/cicadaweir-core/src/flow/table.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     catalog::{AddressKey, TargetKey},
-    packet::{Direction, PacketKind},
+    packet::{Direction, PacketInfo, PacketKind},
     time::{Duration, Instant},
 };
 
@@ -120,7 +120,9 @@
             .find(hash, |&at| {
                 let e = self.entries[at as usize].as_ref();
                 e.is_some_and(|e| {
-                    e.caller_ip == caller.ip && e.caller_port == caller.port && e.address == address
+                    e.caller_ip == caller.ip
+                        && e.caller_port == caller.port
+                        && e.address() == address
                 })
             })
             .copied()
@@ -146,11 +148,12 @@
             flow_hash: hash,
             caller_ip: caller.ip,
             caller_port: caller.port,
-            address,
+            address: address.0 as u16,
             target,
             caller_seen: ticks(now),
             target_seen: ticks(now),
-            unanswered: 0,
+            sequence: 0,
+            asked: 0,
             state,
             flags,
         };
@@ -173,7 +176,8 @@
     }
 
     /// Records one packet on an entry.
-    pub fn touch(entry: &mut FlowEntry, now: Instant, kind: PacketKind, from: Direction) {
+    pub fn touch(entry: &mut FlowEntry, now: Instant, info: &PacketInfo) {
+        let (kind, from) = (info.kind, info.direction);
         let closed_from = if entry.flags.contains(FlowFlags::CALLER_CLOSED) {
             Some(Direction::ToTarget)
         } else if entry.flags.contains(FlowFlags::TARGET_CLOSED) {
@@ -186,7 +190,7 @@
             Direction::ToTarget => {
                 entry.caller_seen = ticks(now);
                 if kind == PacketKind::Data {
-                    entry.unanswered = entry.unanswered.saturating_add(1);
+                    note_data(entry, now, info.sequence);
                 }
                 if kind == PacketKind::Closing {
                     entry.flags.insert(FlowFlags::CALLER_CLOSED);
@@ -194,7 +198,8 @@
             }
             Direction::ToCaller => {
                 entry.target_seen = ticks(now);
-                entry.unanswered = 0;
+                entry.flags.remove(FlowFlags::ASKED);
+                entry.flags.remove(FlowFlags::REPEATED);
                 entry.flags.insert(FlowFlags::ANSWERED);
                 if kind == PacketKind::Closing {
                     entry.flags.insert(FlowFlags::TARGET_CLOSED);
@@ -225,7 +230,8 @@
     /// here.
     pub fn excuse(entry: &mut FlowEntry, now: Instant) {
         entry.target_seen = ticks(now);
-        entry.unanswered = 0;
+        entry.flags.remove(FlowFlags::ASKED);
+        entry.flags.remove(FlowFlags::REPEATED);
     }
 
     /// Forgets one flow.
@@ -278,7 +284,15 @@
         TICK.times(u64::from(ticks(now).saturating_sub(seen)))
     }
 
-    /// Returns how long the target has been silent while the caller sent.
+    /// Returns for how long the caller has repeated data without an answer
+    /// that passed here; `None` if it has not.
+    pub fn unanswered_for(entry: &FlowEntry, now: Instant) -> Option<Duration> {
+        let repeated = entry.flags.contains(FlowFlags::REPEATED);
+        let waited = (ticks(now) as u16).wrapping_sub(entry.asked);
+        repeated.then(|| TICK.times(u64::from(waited)))
+    }
+
+    /// Returns how long no packet of the target has passed here.
     pub fn target_silence(entry: &FlowEntry, now: Instant) -> Duration {
         TICK.times(u64::from(ticks(now).saturating_sub(entry.target_seen)))
     }
@@ -301,6 +315,18 @@
     }
 }
 
+/// Notes a caller's data: the first that is unanswered, or its repetition.
+fn note_data(entry: &mut FlowEntry, now: Instant, sequence: u32) {
+    if !entry.flags.contains(FlowFlags::ASKED) || entry.sequence != sequence {
+        entry.flags.insert(FlowFlags::ASKED);
+        entry.flags.remove(FlowFlags::REPEATED);
+        entry.asked = ticks(now) as u16;
+        entry.sequence = sequence;
+    } else {
+        entry.flags.insert(FlowFlags::REPEATED);
+    }
+}
+
 fn ticks(now: Instant) -> u32 {
     (now.as_micros() / TICK.as_micros()) as u32
 }
--- a/crates/cicadaweir-core/src/node/packets.rs
+++ b/crates/cicadaweir-core/src/node/packets.rs
@@ -136,7 +136,7 @@
             self.flows.remove(arrival.hash, caller, arrival.address);
             return None;
         }
-        FlowTable::touch(entry, now, info.kind, Direction::ToTarget);
+        FlowTable::touch(entry, now, info);
         Some(entry.target)
     }
 
@@ -275,7 +275,7 @@
             entry.target = target;
             entry.state = FlowState::first(info.kind);
         }
-        FlowTable::touch(entry, now, info.kind, Direction::ToCaller);
+        FlowTable::touch(entry, now, info);
         true
     }
 }
--- a/crates/cicadaweir-core/src/node/silence.rs
+++ b/crates/cicadaweir-core/src/node/silence.rs
@@ -1,24 +1,23 @@
 //! Open flows whose target went silent.
 //!
-//! An entry VM sees only a sample of a flow's packets, so that its own count
-//! of unanswered data proves nothing. It asks the others, and resets the flow
-//! towards its caller only if none has seen the target for
-//! [`super::Options::silence`] while the target answers new openings. A quiet
-//! flow whose caller sends nothing is never touched.
+//! An entry VM sees only a sample of a flow's packets, so that the lack of an
+//! answer here proves nothing. It suspects a flow whose caller repeats one
+//! segment (the same sequence number twice) and which no answer has followed
+//! here for [`super::Options::silence`]; it then asks the others, and resets
+//! the flow towards its caller only if none has seen the target since that
+//! segment, while the target answers new openings. A quiet flow whose caller
+//! sends nothing is never touched.
 
 use indexmap::IndexSet;
 
 use crate::{
-    flow::{FlowEntry, FlowFlags, FlowState, FlowTable, Protocol},
+    flow::{FlowFlags, FlowState, FlowTable, Protocol},
     message::FlowMemory,
     prelude::*,
 };
 
 use super::Node;
 
-/// Unanswered data packets, seen here, that raise a suspicion.
-const UNANSWERED: u16 = 2;
-
 /// Positions of the flow table that one tick examines.
 const WALK: usize = 4_096;
 
@@ -32,6 +31,8 @@
 #[derive(Debug)]
 pub(super) struct Suspicion {
     target: TargetKey,
+    /// When the caller first sent what is unanswered.
+    sent: Instant,
     asked: IndexSet<MemberId>,
     since: Instant,
 }
@@ -45,14 +46,20 @@
         let positions = self.flows.positions();
         let start = self.random_start(now, positions);
         let silence = self.options.silence;
-        let found: Vec<(u64, FlowKey, TargetKey)> = self
+        let found: Vec<(u64, Protocol, TargetKey, Instant)> = self
             .flows
             .window(start, WALK)
-            .filter(|e| seems_silent(e, now, silence))
-            .filter_map(|e| Some((e.flow_hash(), self.flow_key(e)?, e.target)))
+            .filter(|e| e.state == FlowState::Established)
+            .filter_map(|e| {
+                let waited = FlowTable::unanswered_for(e, now).filter(|&w| w >= silence)?;
+                let protocol = self.catalog.address(e.address())?.protocol;
+                Some((e.flow_hash(), protocol, e.target, now - waited))
+            })
             .collect();
-        for (hash, flow, target) in found {
-            self.suspect(now, hash, flow, target, out);
+        for (hash, protocol, target, sent) in found {
+            if protocol == Protocol::Tcp {
+                self.suspect(now, hash, target, sent, out);
+            }
         }
     }
 
@@ -63,24 +70,15 @@
         (tick as usize % windows) * WALK
     }
 
-    fn flow_key(&self, entry: &FlowEntry) -> Option<FlowKey> {
-        let address = self.catalog.address(entry.address())?;
-        Some(FlowKey {
-            protocol: address.protocol,
-            caller: entry.caller(),
-            address: address.endpoint,
-        })
-    }
-
     fn suspect(
         &mut self,
         now: Instant,
         hash: u64,
-        flow: FlowKey,
         target: TargetKey,
+        sent: Instant,
         out: &mut Vec<Action>,
     ) {
-        if flow.protocol != Protocol::Tcp || self.lookups.suspicions.contains_key(&hash) {
+        if self.lookups.suspicions.contains_key(&hash) {
             return;
         }
         if !self.answers_openings(now, target, ANSWERS_OPENINGS) {
@@ -94,6 +92,7 @@
         let alone = asked.is_empty();
         let suspicion = Suspicion {
             target,
+            sent,
             asked,
             since: now,
         };
@@ -110,14 +109,14 @@
         flow_hash: u64,
         memory: Option<FlowMemory>,
     ) {
-        let silence = self.options.silence;
         let Some(suspicion) = self.lookups.suspicions.get_mut(&flow_hash) else {
             return;
         };
+        let sent = suspicion.sent;
         let same = |m: &FlowMemory| m.target == suspicion.target;
         if memory
             .filter(same)
-            .is_some_and(|m| m.target_silence < silence)
+            .is_some_and(|m| m.target_silence < now.since(sent))
         {
             self.lookups.suspicions.swap_remove(&flow_hash);
             self.excuse(now, flow_hash);
@@ -149,9 +148,3 @@
         }
     }
 }
-
-fn seems_silent(entry: &FlowEntry, now: Instant, silence: Duration) -> bool {
-    entry.state == FlowState::Established
-        && entry.unanswered >= UNANSWERED
-        && FlowTable::target_silence(entry, now) >= silence
-}
--- a/crates/cicadaweir-core/src/packet.rs
+++ b/crates/cicadaweir-core/src/packet.rs
@@ -43,6 +43,9 @@
     pub direction: Direction,
     /// What the transport header says.
     pub kind: PacketKind,
+    /// The TCP sequence number, by which a repeated segment is known; 0 for
+    /// UDP.
+    pub sequence: u32,
     /// The length of the inner packet in bytes.
     pub bytes: u16,
 }
--- a/crates/cicadaweir-lab/src/world/act.rs
+++ b/crates/cicadaweir-lab/src/world/act.rs
@@ -480,6 +480,7 @@
             flow: self.callers[caller as usize].flow,
             direction: Direction::ToTarget,
             kind,
+            sequence: identity as u32,
             bytes: 100,
         };
         let packet = Packet {
--- a/crates/cicadaweird/src/tunnel/inner.rs
+++ b/crates/cicadaweird/src/tunnel/inner.rs
@@ -19,6 +19,8 @@
     pub destination: Endpoint,
     /// What the transport header says.
     pub kind: PacketKind,
+    /// The TCP sequence number, 0 for UDP.
+    pub sequence: u32,
     /// The length in bytes.
     pub bytes: u16,
 }
@@ -38,6 +40,7 @@
             },
             direction,
             kind: self.kind,
+            sequence: self.sequence,
             bytes: self.bytes,
         }
     }
@@ -55,18 +58,20 @@
         _ => ErrorKind::TransportUnsupported,
     })?;
     let (source_ip, destination_ip) = addresses(&sliced)?;
-    let (protocol, source_port, destination_port, kind) = match &sliced.transport {
+    let (protocol, source_port, destination_port, kind, sequence) = match &sliced.transport {
         Some(TransportSlice::Tcp(tcp)) => (
             Protocol::Tcp,
             tcp.source_port(),
             tcp.destination_port(),
             tcp_kind(tcp),
+            tcp.sequence_number(),
         ),
         Some(TransportSlice::Udp(udp)) => (
             Protocol::Udp,
             udp.source_port(),
             udp.destination_port(),
             PacketKind::Datagram,
+            0,
         ),
         _ => return Err(ErrorKind::TransportUnsupported),
     };
@@ -81,6 +86,7 @@
             port: destination_port,
         },
         kind,
+        sequence,
         bytes: packet.len().min(usize::from(u16::MAX)) as u16,
     })
 }
