fix: keep a cut between zones from running a booking twice or breaking flows

Cause: members that could not reach a target marked it down for everybody and placed its datagrams elsewhere, while the other side still delivered to it; a flow placed on the far side of the cut met the reset of a target that did not know it. The lab let a second target with another initial sequence number take a caller's data. Change: findings of members that see none of a target's zone count for them alone, and leave the target's buckets ambiguous afterwards; a datagram of an unknown flow is placed only if no member that may have delivered it is missing, or all would have chosen the same target; resets of targets that never answered here are dropped while a member is missing. A found silent flow is told to the others. Ruled out: not deviating in a cut at all (a zone cut off with its callers would then refuse two thirds of them).

--- a/crates/cicadaweir-core/src/error.rs
+++ b/crates/cicadaweir-core/src/error.rs
@@ -30,6 +30,9 @@
     RelayHops,
     /// A packet waited too long, or too many wait, for an answer of a peer.
     LookupTimeout,
+    /// An entry VM that may have delivered a datagram of the flow can't be
+    /// asked.
+    WitnessMissing,
     /// This entry VM is behind and may not choose a target.
     Behind,
     /// The service has no target that takes new work.
@@ -73,7 +76,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 24] = [
         Self::PacketTruncated,
         Self::PacketOversized,
         Self::PacketFragment,
@@ -86,6 +89,7 @@
         Self::PeerMalformed,
         Self::RelayHops,
         Self::LookupTimeout,
+        Self::WitnessMissing,
         Self::Behind,
         Self::NoTarget,
         Self::Overloaded,
@@ -111,6 +115,7 @@
             | Self::AnswerFromStranger
             | Self::RelayHops
             | Self::LookupTimeout
+            | Self::WitnessMissing
             | Self::Behind
             | Self::Deferred
             | Self::QueueFull => Answer::Discard,
@@ -140,6 +145,7 @@
             Self::PeerMalformed => "peer_malformed",
             Self::RelayHops => "relay_hops",
             Self::LookupTimeout => "lookup_timeout",
+            Self::WitnessMissing => "witness_missing",
             Self::Behind => "behind",
             Self::NoTarget => "no_target",
             Self::Overloaded => "overloaded",
--- a/crates/cicadaweir-core/src/load/mark.rs
+++ b/crates/cicadaweir-core/src/load/mark.rs
@@ -29,6 +29,10 @@
     pub version: u32,
     /// The mark.
     pub mark: Mark,
+    /// Whether it is the finding of another zone's members, which probe the
+    /// target while they see no member of its own zone; it counts only for
+    /// those who see none either.
+    pub remote: bool,
 }
 
 impl Mark {
@@ -51,10 +55,3 @@
         !matches!(self, Self::Normal)
     }
 }
-
-impl MarkUpdate {
-    /// Returns whether this mark replaces another of the same target.
-    pub fn supersedes(&self, other: &Self) -> bool {
-        (self.version, self.mark) > (other.version, other.mark)
-    }
-}
--- a/crates/cicadaweir-core/src/message.rs
+++ b/crates/cicadaweir-core/src/message.rs
@@ -118,6 +118,14 @@
         /// The keyed hash of the flow.
         flow_hash: u64,
     },
+    /// Says that a flow's target went silent, so that whoever gets the
+    /// caller's next packet resets the flow.
+    Broken {
+        /// The keyed hash of the flow.
+        flow_hash: u64,
+        /// The silent target.
+        target: TargetKey,
+    },
     /// Tells what is remembered of a flow.
     LookupAnswer {
         /// The keyed hash of the flow.
@@ -179,7 +187,9 @@
             Self::Known { .. } => MessageKind::Agreement,
             Self::NotesWanted { .. } | Self::Notes { .. } => MessageKind::Notes,
             Self::ExceptionsWanted { .. } | Self::Exceptions { .. } => MessageKind::HandOver,
-            Self::Lookup { .. } | Self::LookupAnswer { .. } => MessageKind::Lookup,
+            Self::Lookup { .. } | Self::LookupAnswer { .. } | Self::Broken { .. } => {
+                MessageKind::Lookup
+            }
         }
     }
 }
--- a/crates/cicadaweir-core/src/node.rs
+++ b/crates/cicadaweir-core/src/node.rs
@@ -4,6 +4,7 @@
 mod health;
 mod loads;
 mod lookup;
+mod marks;
 mod members;
 mod notes;
 mod options;
@@ -65,7 +66,7 @@
     lookups: Lookups,
     recovery: Recovery,
     targets: Vec<TargetState>,
-    mark_news: IndexMap<TargetKey, (MarkUpdate, u32)>,
+    mark_news: IndexMap<(TargetKey, bool), (MarkUpdate, u32)>,
     load_news: IndexMap<TargetKey, u32>,
     watching: bool,
     counters: Counters,
--- a/crates/cicadaweir-core/src/node/health.rs
+++ b/crates/cicadaweir-core/src/node/health.rs
@@ -1,13 +1,13 @@
-//! Marks: which targets this member probes and what it concludes.
+//! Probing: which targets this member probes, and what passing packets show.
 
 use crate::{
     hash,
-    load::{Admission, Judge, Mark, MarkUpdate, Passive, ProbeResult},
+    load::{Admission, Judge, Mark, Passive},
     membership::{Member, MemberId},
     prelude::*,
 };
 
-use super::Node;
+use super::{Node, marks::Finding};
 
 /// What a node keeps of one target.
 #[derive(Debug, Clone, Default)]
@@ -15,7 +15,11 @@
     pub judge: Judge,
     pub passive: Passive,
     pub admission: Admission,
-    pub mark_version: u32,
+    /// The finding of the target's own zone.
+    pub home: Finding,
+    /// The finding of members that saw none of the target's zone.
+    pub remote: Option<Finding>,
+    /// When the mark in use last changed here.
     pub marked_since: Instant,
     pub load_version: u32,
     pub probed_here: bool,
@@ -36,7 +40,7 @@
 
     /// Recomputes which targets this member probes: each target has one
     /// prober, of its own zone if that has any member.
-    pub(super) fn refresh_probing(&mut self) {
+    pub(super) fn refresh_probing(&mut self, now: Instant) {
         let members: Vec<Member> = self.view.iter().filter(|m| m.owns()).copied().collect();
         let me = self.view.me();
         for (key, target) in self.catalog.targets() {
@@ -46,6 +50,7 @@
             let state = &mut self.targets[key.0 as usize];
             state.probed_here = prober == Some(me) && target.spec.probe.is_some();
         }
+        self.refresh_marks(now);
     }
 
     pub(super) fn tick_health(&mut self, now: Instant, out: &mut Vec<Action>) {
@@ -60,80 +65,6 @@
         }
     }
 
-    pub(super) fn probed(&mut self, now: Instant, target: TargetKey, result: ProbeResult) {
-        if target.0 as usize >= self.targets.len() {
-            return;
-        }
-        let limits = self.limits(target);
-        let state = &mut self.targets[target.0 as usize];
-        let mark = self.catalog.target(target).mark;
-        let next = state.judge.probed(
-            now,
-            result,
-            mark,
-            limits,
-            &mut state.passive,
-            &self.options.load,
-        );
-        if next != mark {
-            let version = state.mark_version + 1;
-            self.take_mark(
-                now,
-                MarkUpdate {
-                    target,
-                    version,
-                    mark: next,
-                },
-            );
-        }
-        if let ProbeResult::Healthy(report) = result {
-            self.publish_load(now, target, report);
-        }
-    }
-
-    /// Takes over a mark if it is newer, and passes it on.
-    fn take_mark(&mut self, now: Instant, update: MarkUpdate) {
-        let Some(state) = self.targets.get_mut(update.target.0 as usize) else {
-            return;
-        };
-        let current = MarkUpdate {
-            target: update.target,
-            version: state.mark_version,
-            mark: self.catalog.target(update.target).mark,
-        };
-        if !update.supersedes(&current) {
-            return;
-        }
-        state.mark_version = update.version;
-        state.marked_since = now;
-        if self.catalog.set_mark(update.target, update.mark) {
-            self.refresh_ambiguous_slots();
-        }
-        let sends = self.news_transmissions();
-        self.mark_news.insert(update.target, (update, sends));
-    }
-
-    pub(super) fn hear_marks(&mut self, now: Instant, marks: &[MarkUpdate]) {
-        for update in marks {
-            self.take_mark(now, *update);
-        }
-    }
-
-    pub(super) fn take_mark_news(&mut self, most: usize) -> Vec<MarkUpdate> {
-        let news: Vec<MarkUpdate> = self.mark_news.values().take(most).map(|n| n.0).collect();
-        for update in &news {
-            self.mark_news[&update.target].1 -= 1;
-        }
-        self.mark_news.retain(|_, n| n.1 > 0);
-        news
-    }
-
-    /// Returns how often a piece of news is sent.
-    pub(super) fn news_transmissions(&self) -> u32 {
-        let members = self.view.len();
-        2 * (usize::BITS - members.leading_zeros())
-    }
-
     /// Returns whether a mark is known for long enough that every reachable
     /// member has heard it.
     pub(super) fn mark_is_settled(&self, now: Instant, target: TargetKey) -> bool {
--- a/crates/cicadaweir-core/src/node/lookup.rs
+++ b/crates/cicadaweir-core/src/node/lookup.rs
@@ -142,7 +142,7 @@
         memory: Option<FlowMemory>,
         out: &mut Vec<Action>,
     ) {
-        self.suspicion_answered(now, from, flow_hash, memory);
+        self.suspicion_answered(now, from, flow_hash, memory, out);
         let Some(waiting) = self.lookups.waiting.get_mut(&flow_hash) else {
             return;
         };
@@ -194,7 +194,7 @@
         let outlook = Outlook::new(service, arrival.bucket, agreed, &self.slots);
         let decision = match info.flow.protocol {
             Protocol::Tcp => Decision::Target(outlook.base, Reason::Base),
-            Protocol::Udp => self.place(now, arrival, &outlook),
+            Protocol::Udp => self.place_datagram(now, arrival, &outlook),
         };
         match decision {
             Decision::Target(target, reason) => {
--- a/crates/cicadaweir-core/src/node/members.rs
+++ b/crates/cicadaweir-core/src/node/members.rs
@@ -94,6 +94,7 @@
             Message::ExceptionsWanted { slots } => self.serve_exceptions(now, from, slots),
             Message::Exceptions { flows, last } => self.take_exceptions(now, from, flows, last),
             Message::Lookup { flow_hash } => self.answer_lookup(now, from, flow_hash, out),
+            Message::Broken { flow_hash, target } => self.mark_broken(flow_hash, target),
             Message::LookupAnswer { flow_hash, memory } => {
                 self.lookup_answered(now, from, flow_hash, memory, out);
             }
@@ -306,7 +307,7 @@
         self.relations.order.sort_unstable();
         self.relations.digest = self.view.digest();
         self.acquire(now, lost);
-        self.refresh_probing();
+        self.refresh_probing(now);
     }
 
     /// After a pause, what this member knows may be old: it chooses nothing
--- a/crates/cicadaweir-core/src/node/notes.rs
+++ b/crates/cicadaweir-core/src/node/notes.rs
@@ -164,7 +164,7 @@
     fn catalog_changed(&mut self, now: Instant) {
         self.grow_targets(now);
         self.refresh_ambiguous_slots();
-        self.refresh_probing();
+        self.refresh_probing(now);
     }
 }
 
--- a/crates/cicadaweir-core/src/node/packets.rs
+++ b/crates/cicadaweir-core/src/node/packets.rs
@@ -2,13 +2,18 @@
 
 use crate::{
     flow::{FlowEntry, FlowFlags, FlowState, FlowTable},
-    hash, placement,
+    hash,
+    membership::Phase,
+    placement,
     prelude::*,
     route::{Decision, MOST_HOPS, Outlook, Reason, RelayHeader},
 };
 
 use super::{Node, placing::Arrival};
 
+/// How long after a member vanished the resets of unknown flows are doubted.
+const DOUBT: Duration = Duration::from_secs(120);
+
 /// How long after its last packet an open flow's opening counts as a
 /// repetition and not as a new flow on the same port.
 const REPETITION: Duration = Duration::from_secs(3);
@@ -61,6 +66,14 @@
         broken
     }
 
+    /// Returns whether a member vanished a short while ago.
+    fn member_is_missing(&self, now: Instant) -> bool {
+        self.view.iter().any(|m| {
+            let gone = !m.reachable() && m.record.phase != Phase::Left;
+            gone && now.since(m.since) < DOUBT
+        })
+    }
+
     /// Without any catalog this entry VM cannot say that nobody has the
     /// address.
     fn kind_without_service(&self) -> ErrorKind {
@@ -248,7 +261,9 @@
     }
 
     /// Records an answer; returns whether it may be handed on. A reset of a
-    /// target that is not the flow's own must not reach the caller.
+    /// target that is not the flow's own must not reach the caller; while
+    /// members are missing, which may have placed the flow elsewhere, neither
+    /// does the reset of a target that never answered for it here.
     fn learn(
         &mut self,
         now: Instant,
@@ -258,7 +273,11 @@
         target: TargetKey,
     ) -> bool {
         let caller = &info.flow.caller;
+        let doubtful = info.kind == PacketKind::Reset && self.member_is_missing(now);
         let Some(entry) = self.flows.get_mut(hash, caller, address) else {
+            if doubtful {
+                return false;
+            }
             if info.kind != PacketKind::Reset {
                 let state = FlowState::first(info.kind);
                 let flags = FlowFlags::ANSWERED;
@@ -268,12 +287,16 @@
             }
             return true;
         };
+        if doubtful && !entry.flags.contains(FlowFlags::ANSWERED) {
+            return false;
+        }
         if entry.target != target {
             if info.kind == PacketKind::Reset {
                 return false;
             }
             entry.target = target;
             entry.state = FlowState::first(info.kind);
+            entry.flags = FlowFlags::default();
         }
         FlowTable::touch(entry, now, info);
         true
--- a/crates/cicadaweir-core/src/node/placing.rs
+++ b/crates/cicadaweir-core/src/node/placing.rs
@@ -4,6 +4,7 @@
     flow::Protocol,
     hash,
     load::Mark,
+    membership::Phase,
     prelude::*,
     route::{Decision, Outlook, Policy, Reason},
 };
@@ -80,6 +81,44 @@
         }
     }
 
+    /// Places a datagram that no reachable member remembers. An unreachable
+    /// one may have delivered it: that does not matter while every member
+    /// would have chosen the same target, and is left unanswered otherwise.
+    pub(super) fn place_datagram(
+        &mut self,
+        now: Instant,
+        arrival: &Arrival,
+        outlook: &Outlook,
+    ) -> Decision {
+        if self.witness_is_missing(now) && !self.choice_is_certain(now, arrival, outlook) {
+            return Decision::Error(ErrorKind::WitnessMissing);
+        }
+        self.place(now, arrival, outlook)
+    }
+
+    /// Returns whether a member that ended without leaving may still have
+    /// delivered, or be delivering, datagrams.
+    fn witness_is_missing(&self, now: Instant) -> bool {
+        let horizon = self.options.expiry.datagram;
+        self.view.iter().any(|m| {
+            let gone = !m.reachable() && m.record.phase != Phase::Left;
+            gone && (m.listed || now.since(m.since) < horizon)
+        })
+    }
+
+    /// Returns whether every member has, for as long as datagrams are
+    /// remembered, placed the bucket's new flows on the target in force.
+    fn choice_is_certain(&self, now: Instant, arrival: &Arrival, outlook: &Outlook) -> bool {
+        let horizon = self.options.expiry.datagram;
+        let service = self.catalog.service(arrival.service);
+        let settled = service.generations.iter().all(|g| {
+            g.target(arrival.bucket) == outlook.in_force
+                || Catalog::superseded_for(g, now) >= horizon
+        });
+        let mark = self.catalog.target(outlook.in_force).mark;
+        settled && matches!(mark, Mark::Normal | Mark::Settled)
+    }
+
     /// Chooses between a bucket's target and its alternatives by marks.
     fn choose(&mut self, now: Instant, arrival: &Arrival, primary: TargetKey) -> Option<TargetKey> {
         let mark = self.catalog.target(primary).mark;
--- a/crates/cicadaweir-core/src/node/silence.rs
+++ b/crates/cicadaweir-core/src/node/silence.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     flow::{FlowFlags, FlowState, FlowTable, Protocol},
-    message::FlowMemory,
+    message::{FlowMemory, Message},
     prelude::*,
 };
 
@@ -98,7 +98,7 @@
         };
         self.lookups.suspicions.insert(hash, suspicion);
         if alone {
-            self.reset_silent(hash);
+            self.reset_silent(hash, out);
         }
     }
 
@@ -108,6 +108,7 @@
         from: MemberId,
         flow_hash: u64,
         memory: Option<FlowMemory>,
+        out: &mut Vec<Action>,
     ) {
         let Some(suspicion) = self.lookups.suspicions.get_mut(&flow_hash) else {
             return;
@@ -124,7 +125,7 @@
         }
         suspicion.asked.swap_remove(&from);
         if suspicion.asked.is_empty() {
-            self.reset_silent(flow_hash);
+            self.reset_silent(flow_hash, out);
         }
     }
 
@@ -135,16 +136,28 @@
         }
     }
 
-    /// Marks the flow, so that its caller's next packet is answered by a
-    /// reset that carries the right numbers.
-    fn reset_silent(&mut self, flow_hash: u64) {
-        if self.lookups.suspicions.swap_remove(&flow_hash).is_none() {
+    /// Marks the flow here and at the others, so that its caller's next
+    /// packet is answered by a reset that carries the right numbers, wherever
+    /// it arrives.
+    fn reset_silent(&mut self, flow_hash: u64, out: &mut Vec<Action>) {
+        let Some(suspicion) = self.lookups.suspicions.swap_remove(&flow_hash) else {
             return;
+        };
+        let target = suspicion.target;
+        self.mark_broken(flow_hash, target);
+        self.counters.resets += 1;
+        for to in self.witnesses() {
+            self.send(to, Message::Broken { flow_hash, target }, out);
         }
-        if let Some(entry) = self.flows.get_by_hash_mut(flow_hash) {
+    }
+
+    pub(super) fn mark_broken(&mut self, flow_hash: u64, target: TargetKey) {
+        let Some(entry) = self.flows.get_by_hash_mut(flow_hash) else {
+            return;
+        };
+        if entry.target == target {
             entry.flags.insert(FlowFlags::BROKEN);
             entry.state = FlowState::HalfClosed;
-            self.counters.resets += 1;
         }
     }
 }
--- a/crates/cicadaweir-lab/src/scenario/load.rs
+++ b/crates/cicadaweir-lab/src/scenario/load.rs
@@ -107,7 +107,7 @@
         due: Instant::START,
         tries: 0,
         asked: 0,
-        target: None,
+        connected: None,
         delivered_to: IndexSet::new(),
         opened: None,
         in_surge: false,
--- a/crates/cicadaweir-lab/src/world/act.rs
+++ b/crates/cicadaweir-lab/src/world/act.rs
@@ -333,21 +333,25 @@
         match kind {
             PacketKind::Opening => self.open_connection(at, packet),
             PacketKind::Datagram => self.request(at, packet),
-            PacketKind::Data if self.targets[at].open.contains(&caller) => {
-                self.request(at, packet);
-            }
+            PacketKind::Data if self.is_open_at(at, caller) => self.request(at, packet),
             PacketKind::Closing => {
                 self.targets[at].open.swap_remove(&caller);
             }
-            PacketKind::Data | PacketKind::Acknowledgement
-                if !self.targets[at].open.contains(&caller) =>
-            {
+            PacketKind::Data | PacketKind::Acknowledgement if !self.is_open_at(at, caller) => {
                 self.answer(at, packet, PacketKind::Reset);
             }
             _ => {}
         }
     }
 
+    /// Returns whether a target takes a caller's data. A second target that
+    /// got the opening has another initial sequence number, so that the
+    /// caller's acknowledgements are wrong there (RFC 9293, section 3.10.7.4).
+    fn is_open_at(&self, at: usize, caller: u32) -> bool {
+        let with = self.callers[caller as usize].connected;
+        self.targets[at].open.contains(&caller) && with == Some(at)
+    }
+
     /// Notes that a flow's first packet reached a target.
     fn delivered(&mut self, at: usize, caller: u32) {
         let flow = &mut self.callers[caller as usize];
@@ -605,19 +609,19 @@
             (PacketKind::OpeningAnswer, CallerState::Opening) => {
                 caller.state = CallerState::Quiet;
                 caller.opened = Some(now);
-                caller.target = target;
+                caller.connected = target;
                 self.measures.opened += 1;
                 self.send_to_service(index, PacketKind::Acknowledgement, 0);
                 self.at(now, Happening::Caller { caller: index });
             }
             (PacketKind::Data | PacketKind::Datagram, CallerState::Waiting) => {
-                self.answered(index, packet, target);
+                self.answered(index, packet);
             }
             _ => {}
         }
     }
 
-    fn answered(&mut self, index: u32, packet: Packet, target: Option<usize>) {
+    fn answered(&mut self, index: u32, packet: Packet) {
         let now = self.now;
         let caller = &mut self.callers[index as usize];
         if packet.identity != caller.identity(index) {
@@ -625,7 +629,6 @@
         }
         let took = now.since(caller.since);
         let in_surge = caller.in_surge;
-        caller.target = target;
         self.measures.answered += 1;
         self.measures.times.saturating_record(took.as_micros());
         if in_surge && took <= SURGE_DEADLINE && caller.asked <= 1 {
--- a/crates/cicadaweir-lab/src/world/caller.rs
+++ b/crates/cicadaweir-lab/src/world/caller.rs
@@ -57,8 +57,8 @@
     pub tries: u32,
     /// Requests made so far.
     pub asked: u32,
-    /// The target that answered last.
-    pub target: Option<usize>,
+    /// The target that the flow is connected with.
+    pub connected: Option<usize>,
     /// Targets that got its opening, or its datagram.
     pub delivered_to: IndexSet<usize>,
     /// When the flow was opened.
--- a/crates/cicadaweir-proto/schema/peer.capnp
+++ b/crates/cicadaweir-proto/schema/peer.capnp
@@ -21,6 +21,7 @@
   target @0 :UInt32;
   version @1 :UInt32;
   mark @2 :UInt8;
+  remote @3 :Bool;
 }
 
 struct Load {
@@ -61,6 +62,7 @@
     exceptions :group { flows @18 :List(Exception); last @19 :Bool; }
     lookup :group { flowHash @20 :UInt64; }
     lookupAnswer :group { hash @21 :UInt64; found @22 :Bool; target @23 :UInt32; silenceMs @24 :UInt32; }
+    broken :group { broken @25 :UInt64; silent @26 :UInt32; }
   }
 }
 
--- a/crates/cicadaweir-proto/src/codec/decode.rs
+++ b/crates/cicadaweir-proto/src/codec/decode.rs
@@ -91,6 +91,10 @@
         Which::Lookup(r) => Message::Lookup {
             flow_hash: r.get_flow_hash(),
         },
+        Which::Broken(r) => Message::Broken {
+            flow_hash: r.get_broken(),
+            target: TargetKey(r.get_silent()),
+        },
         Which::LookupAnswer(r) => Message::LookupAnswer {
             flow_hash: r.get_hash(),
             memory: r.get_found().then(|| FlowMemory {
@@ -136,6 +140,7 @@
         target: TargetKey(r.get_target()),
         version: r.get_version(),
         mark,
+        remote: r.get_remote(),
     })
 }
 
--- a/crates/cicadaweir-proto/src/codec/encode.rs
+++ b/crates/cicadaweir-proto/src/codec/encode.rs
@@ -85,6 +85,11 @@
             }
         }
         Message::Lookup { flow_hash } => envelope.init_lookup().set_flow_hash(*flow_hash),
+        Message::Broken { flow_hash, target } => {
+            let mut b = envelope.init_broken();
+            b.set_broken(*flow_hash);
+            b.set_silent(target.0);
+        }
         Message::LookupAnswer { flow_hash, memory } => {
             let mut b = envelope.init_lookup_answer();
             b.set_hash(*flow_hash);
@@ -113,6 +118,7 @@
         item.set_target(mark.target.0);
         item.set_version(mark.version);
         item.set_mark(mark.mark as u8);
+        item.set_remote(mark.remote);
     }
     let mut loads = b.init_loads(gossip.loads.len() as u32);
     for (at, load) in (0..).zip(&gossip.loads) {
