fix: find silent flows by repetition and the others' memory together

Cause: the first segment at an entry VM that had no entry was not counted, and ten seconds had to pass after the first of two copies at one entry VM; half of the lost flows stalled for 30 s. Change: an entry starts with its first segment's number; a flow is suspected after 3 s of repetition, and reset only if nobody has seen the target for 10 s. Conclusion: better, not yet good: the reset waits for the caller's next packet, which comes every 4 s.

--- a/crates/cicadaweir-core/src/flow/entry.rs
+++ b/crates/cicadaweir-core/src/flow/entry.rs
@@ -17,13 +17,10 @@
     pub const ANSWERED: Self = Self(4);
     /// This entry VM opened the flow as the owner of its bucket.
     pub const PLACED_HERE: Self = Self(8);
-    /// The target went silent: the caller's next packet is answered by a
-    /// reset.
-    pub const BROKEN: Self = Self(16);
     /// The caller has sent data that no answer seen here has followed.
-    pub const ASKED: Self = Self(32);
+    pub const ASKED: Self = Self(16);
     /// The caller has repeated such data.
-    pub const REPEATED: Self = Self(64);
+    pub const REPEATED: Self = Self(32);
 
     /// Returns whether all bits of `other` are set.
     pub const fn contains(self, other: Self) -> bool {
--- a/crates/cicadaweir-core/src/load/options.rs
+++ b/crates/cicadaweir-core/src/load/options.rs
@@ -62,7 +62,7 @@
             loaded: 0.5,
             refuse_after: Duration::from_millis(3_000),
             settle: Duration::from_millis(1_500),
-            passive_openings: 24,
+            passive_openings: 8,
             passive_answered: 0.2,
             passive_window: Duration::from_secs(1),
             silent_hold: Duration::from_secs(10),
--- a/crates/cicadaweir-core/src/node/health.rs
+++ b/crates/cicadaweir-core/src/node/health.rs
@@ -88,8 +88,7 @@
     }
 
     pub(super) fn observe_answer(&mut self, now: Instant, info: &PacketInfo, target: TargetKey) {
-        let opens = matches!(info.kind, PacketKind::OpeningAnswer | PacketKind::Datagram);
-        if opens {
+        if info.kind == PacketKind::OpeningAnswer {
             self.targets[target.0 as usize].passive.answer(now);
         }
     }
--- a/crates/cicadaweir-core/src/node/lookup.rs
+++ b/crates/cicadaweir-core/src/node/lookup.rs
@@ -35,6 +35,8 @@
 pub(super) struct Lookups {
     waiting: IndexMap<u64, Waiting>,
     pub(super) suspicions: IndexMap<u64, Suspicion>,
+    /// Flows whose target went silent, and since when that is known.
+    pub(super) broken: IndexMap<u64, (TargetKey, Instant)>,
     budget: f64,
     budget_at: Instant,
 }
--- a/crates/cicadaweir-core/src/node/members.rs
+++ b/crates/cicadaweir-core/src/node/members.rs
@@ -94,7 +94,7 @@
             Message::ExceptionsWanted { slots } => self.serve_exceptions(now, from, slots),
             Message::Exceptions { flows, last } => self.take_exceptions(now, from, flows, last),
             Message::Lookup { flow_hash } => self.answer_lookup(now, from, flow_hash, out),
-            Message::Broken { flow_hash, target } => self.mark_broken(flow_hash, target),
+            Message::Broken { flow_hash, target } => self.mark_broken(now, flow_hash, target),
             Message::LookupAnswer { flow_hash, memory } => {
                 self.lookup_answered(now, from, flow_hash, memory, out);
             }
--- a/crates/cicadaweir-core/src/node/notes.rs
+++ b/crates/cicadaweir-core/src/node/notes.rs
@@ -164,6 +164,7 @@
     fn catalog_changed(&mut self, now: Instant) {
         self.grow_targets(now);
         self.refresh_ambiguous_slots();
+        self.acquire(now, Vec::new());
         self.refresh_probing(now);
     }
 }
--- a/crates/cicadaweir-core/src/node/options.rs
+++ b/crates/cicadaweir-core/src/node/options.rs
@@ -26,6 +26,8 @@
     pub isolation: Duration,
     /// How long a packet waits for the others' memory of its flow.
     pub lookup_timeout: Duration,
+    /// How long callers repeat a datagram that is not answered.
+    pub repeat_horizon: Duration,
     /// The most flows that wait at once.
     pub most_lookups: usize,
     /// Bytes a second for handing over exceptions.
@@ -55,6 +57,7 @@
             pause_limit: Duration::from_millis(700),
             isolation: Duration::from_secs(2),
             lookup_timeout: Duration::from_millis(100),
+            repeat_horizon: Duration::from_secs(20),
             most_lookups: 256,
             hand_over_rate: 4_096,
             lookup_rate: 2_048,
--- a/crates/cicadaweir-core/src/node/packets.rs
+++ b/crates/cicadaweir-core/src/node/packets.rs
@@ -38,7 +38,7 @@
             hash,
             bucket: placement::bucket(hash),
         };
-        if self.is_broken(info, &arrival) {
+        if self.is_broken(info, arrival.hash) {
             out.push(Action::ResetCaller { packet });
             return;
         }
@@ -53,19 +53,6 @@
         }
     }
 
-    /// Returns whether the flow's target went silent; a new opening on the
-    /// same port starts afresh.
-    fn is_broken(&mut self, info: &PacketInfo, arrival: &Arrival) -> bool {
-        let caller = &info.flow.caller;
-        let entry = self.flows.get(arrival.hash, caller, arrival.address);
-        let broken = entry.is_some_and(|e| e.flags.contains(FlowFlags::BROKEN));
-        if broken && info.kind == PacketKind::Opening {
-            self.flows.remove(arrival.hash, caller, arrival.address);
-            return false;
-        }
-        broken
-    }
-
     /// Returns whether a member vanished a short while ago.
     fn member_is_missing(&self, now: Instant) -> bool {
         self.view.iter().any(|m| {
@@ -173,7 +160,7 @@
         let caller = &info.flow.caller;
         // A full table costs an unambiguous flow nothing; the owner has made
         // sure of room before it placed a flow.
-        let _ = self.flows.insert(
+        let inserted = self.flows.insert(
             now,
             arrival.hash,
             caller,
@@ -182,6 +169,9 @@
             state,
             flags,
         );
+        if let Ok(entry) = inserted {
+            FlowTable::touch(entry, now, info);
+        }
     }
 
     pub(super) fn forward(
--- a/crates/cicadaweir-core/src/node/placing.rs
+++ b/crates/cicadaweir-core/src/node/placing.rs
@@ -99,17 +99,17 @@
     /// Returns whether a member that ended without leaving may still have
     /// delivered, or be delivering, datagrams.
     fn witness_is_missing(&self, now: Instant) -> bool {
-        let horizon = self.options.expiry.datagram;
+        let horizon = self.options.repeat_horizon;
         self.view.iter().any(|m| {
             let gone = !m.reachable() && m.record.phase != Phase::Left;
             gone && (m.listed || now.since(m.since) < horizon)
         })
     }
 
-    /// Returns whether every member has, for as long as datagrams are
-    /// remembered, placed the bucket's new flows on the target in force.
+    /// Returns whether every member has, for as long as callers repeat a
+    /// datagram, placed the bucket's new flows on the target in force.
     fn choice_is_certain(&self, now: Instant, arrival: &Arrival, outlook: &Outlook) -> bool {
-        let horizon = self.options.expiry.datagram;
+        let horizon = self.options.repeat_horizon;
         let service = self.catalog.service(arrival.service);
         let settled = service.generations.iter().all(|g| {
             g.target(arrival.bucket) == outlook.in_force
--- a/crates/cicadaweir-core/src/node/silence.rs
+++ b/crates/cicadaweir-core/src/node/silence.rs
@@ -1,17 +1,18 @@
 //! Open flows whose target went silent.
 //!
 //! An entry VM sees only a sample of a flow's packets, so that the lack of an
-//! answer here proves nothing. It suspects a flow whose caller repeats one
-//! segment (the same sequence number twice) and which no answer has followed
-//! here for [`super::Options::silence`]; it then asks the others, and resets
-//! the flow towards its caller only if none has seen the target since that
-//! segment, while the target answers new openings. A quiet flow whose caller
-//! sends nothing is never touched.
+//! answer here proves nothing. It suspects a flow whose caller has repeated
+//! one segment (the same sequence number twice) for [`REPEATING`]; it then
+//! asks the others, and resets the flow towards its caller only if none has
+//! seen the target for [`super::Options::silence`], nor since that segment,
+//! while the target answers new openings. A live target acknowledges a segment
+//! at once, however long its answer takes. A quiet flow whose caller sends
+//! nothing is never touched.
 
 use indexmap::IndexSet;
 
 use crate::{
-    flow::{FlowFlags, FlowState, FlowTable, Protocol},
+    flow::{FlowState, FlowTable, Protocol},
     message::{FlowMemory, Message},
     prelude::*,
 };
@@ -24,6 +25,12 @@
 /// How long the others may take to answer.
 const PATIENCE: Duration = Duration::from_millis(500);
 
+/// How long a caller has repeated one segment before its flow is suspected.
+const REPEATING: Duration = Duration::from_secs(3);
+
+/// How long a silent flow is remembered as such.
+const BROKEN_KEPT: Duration = Duration::from_secs(60);
+
 /// How lately a target must have answered a new opening.
 const ANSWERS_OPENINGS: Duration = Duration::from_secs(10);
 
@@ -43,6 +50,9 @@
         self.lookups
             .suspicions
             .retain(|_, s| now.since(s.since) < PATIENCE);
+        self.lookups
+            .broken
+            .retain(|_, (_, at)| now.since(*at) < BROKEN_KEPT);
         let positions = self.flows.positions();
         let start = self.random_start(now, positions);
         let silence = self.options.silence;
@@ -51,7 +61,10 @@
             .window(start, WALK)
             .filter(|e| e.state == FlowState::Established)
             .filter_map(|e| {
-                let waited = FlowTable::unanswered_for(e, now).filter(|&w| w >= silence)?;
+                let waited = FlowTable::unanswered_for(e, now)?;
+                if waited < REPEATING || FlowTable::target_silence(e, now) < silence {
+                    return None;
+                }
                 let protocol = self.catalog.address(e.address())?.protocol;
                 Some((e.flow_hash(), protocol, e.target, now - waited))
             })
@@ -78,7 +91,8 @@
         sent: Instant,
         out: &mut Vec<Action>,
     ) {
-        if self.lookups.suspicions.contains_key(&hash) {
+        let lookups = &self.lookups;
+        if lookups.suspicions.contains_key(&hash) || lookups.broken.contains_key(&hash) {
             return;
         }
         if !self.answers_openings(now, target, ANSWERS_OPENINGS) {
@@ -98,7 +112,7 @@
         };
         self.lookups.suspicions.insert(hash, suspicion);
         if alone {
-            self.reset_silent(hash, out);
+            self.reset_silent(now, hash, out);
         }
     }
 
@@ -113,11 +127,11 @@
         let Some(suspicion) = self.lookups.suspicions.get_mut(&flow_hash) else {
             return;
         };
-        let sent = suspicion.sent;
+        let since = now.since(suspicion.sent).max(self.options.silence);
         let same = |m: &FlowMemory| m.target == suspicion.target;
         if memory
             .filter(same)
-            .is_some_and(|m| m.target_silence < now.since(sent))
+            .is_some_and(|m| m.target_silence < since)
         {
             self.lookups.suspicions.swap_remove(&flow_hash);
             self.excuse(now, flow_hash);
@@ -125,7 +139,7 @@
         }
         suspicion.asked.swap_remove(&from);
         if suspicion.asked.is_empty() {
-            self.reset_silent(flow_hash, out);
+            self.reset_silent(now, flow_hash, out);
         }
     }
 
@@ -139,25 +153,32 @@
     /// Marks the flow here and at the others, so that its caller's next
     /// packet is answered by a reset that carries the right numbers, wherever
     /// it arrives.
-    fn reset_silent(&mut self, flow_hash: u64, out: &mut Vec<Action>) {
+    fn reset_silent(&mut self, now: Instant, flow_hash: u64, out: &mut Vec<Action>) {
         let Some(suspicion) = self.lookups.suspicions.swap_remove(&flow_hash) else {
             return;
         };
         let target = suspicion.target;
-        self.mark_broken(flow_hash, target);
+        self.mark_broken(now, flow_hash, target);
         self.counters.resets += 1;
         for to in self.witnesses() {
             self.send(to, Message::Broken { flow_hash, target }, out);
         }
     }
 
-    pub(super) fn mark_broken(&mut self, flow_hash: u64, target: TargetKey) {
-        let Some(entry) = self.flows.get_by_hash_mut(flow_hash) else {
-            return;
-        };
-        if entry.target == target {
-            entry.flags.insert(FlowFlags::BROKEN);
-            entry.state = FlowState::HalfClosed;
+    pub(super) fn mark_broken(&mut self, now: Instant, flow_hash: u64, target: TargetKey) {
+        self.lookups.broken.insert(flow_hash, (target, now));
+    }
+
+    /// Returns whether a flow's target went silent; a new opening on the same
+    /// port starts afresh.
+    pub(super) fn is_broken(&mut self, info: &PacketInfo, hash: u64) -> bool {
+        if self.lookups.broken.is_empty() || !self.lookups.broken.contains_key(&hash) {
+            return false;
+        }
+        if info.kind == PacketKind::Opening {
+            self.lookups.broken.swap_remove(&hash);
+            return false;
         }
+        true
     }
 }
--- a/crates/cicadaweir-lab/src/world/caller.rs
+++ b/crates/cicadaweir-lab/src/world/caller.rs
@@ -53,6 +53,8 @@
     pub since: Instant,
     /// When its next request is due.
     pub due: Instant,
+    /// Whether the present request was acknowledged.
+    pub acknowledged: bool,
     /// Tries of the present step.
     pub tries: u32,
     /// Requests made so far.
