fix: let the last owner go on while views differ after a change

Cause: a newcomer owned a slot in its own and some other views while the rest still relayed to the last owner; either of them placed flows that the other took for old ones. Change: for 1.2 s after a change the new owner relays to the last one, which goes on deciding, and then fetches its exceptions once more; openings of a slot that is incomplete ask only those who know it. A flow counts as silent only while its caller still repeats, over at least 2 s. Ruled out: a longer wait before a newcomer becomes active (it does not make the others learn at the same moment).

--- a/crates/cicadaweir-core/src/flow/table.rs
+++ b/crates/cicadaweir-core/src/flow/table.rs
@@ -18,6 +18,9 @@
 /// The unit in which entries hold the times of their last packets.
 pub(super) const TICK: Duration = Duration::from_millis(100);
 
+/// How lately a caller that still repeats a segment sent its last copy.
+const STILL_REPEATING: Duration = Duration::from_secs(6);
+
 /// How long an entry outlives the last packet of its flow, by state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ExpiryOptions {
@@ -284,12 +287,14 @@
         TICK.times(u64::from(ticks(now).saturating_sub(seen)))
     }
 
-    /// Returns for how long the caller has repeated data without an answer
-    /// that passed here; `None` if it has not.
-    pub fn unanswered_for(entry: &FlowEntry, now: Instant) -> Option<Duration> {
+    /// Returns for how long the caller has repeated one segment here without
+    /// an answer that passed here, from its first copy to its last; `None` if
+    /// it has not, or has stopped.
+    pub fn repeated_for(entry: &FlowEntry, now: Instant) -> Option<Duration> {
         let repeated = entry.flags.contains(FlowFlags::REPEATED);
-        let waited = (ticks(now) as u16).wrapping_sub(entry.asked);
-        repeated.then(|| TICK.times(u64::from(waited)))
+        let last = TICK.times(u64::from(ticks(now).saturating_sub(entry.caller_seen)));
+        let span = (entry.caller_seen as u16).wrapping_sub(entry.asked);
+        (repeated && last <= STILL_REPEATING).then(|| TICK.times(u64::from(span)))
     }
 
     /// Returns how long no packet of the target has passed here.
--- a/crates/cicadaweir-core/src/node/lookup.rs
+++ b/crates/cicadaweir-core/src/node/lookup.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     flow::Protocol,
+    membership::slot_of,
     message::{FlowMemory, Message},
     prelude::*,
     route::{Decision, Outlook, Reason},
@@ -59,7 +60,7 @@
             out.push(Action::Hold { packet });
             return;
         }
-        let asked = self.witnesses();
+        let asked = self.knowing(info, arrival);
         if asked.is_empty() {
             return self.nobody_remembers(now, vec![packet], info, arrival, out);
         }
@@ -79,6 +80,20 @@
         self.lookups.waiting.insert(arrival.hash, waiting);
     }
 
+    /// Returns the members to ask about a packet's flow: those who know the
+    /// exceptions of its slot, or everybody about a datagram.
+    fn knowing(&self, info: &PacketInfo, arrival: &Arrival) -> IndexSet<MemberId> {
+        let seed = self.catalog.service(arrival.service).seed;
+        let slot = slot_of(seed, arrival.bucket);
+        match self.recovery.knowing(slot) {
+            Some(members) if info.flow.protocol == Protocol::Tcp => {
+                let reachable = |id: &&MemberId| self.view.get(**id).is_some_and(|m| m.reachable());
+                members.iter().filter(reachable).copied().collect()
+            }
+            _ => self.witnesses(),
+        }
+    }
+
     /// Returns the members to ask about a flow.
     pub(super) fn witnesses(&self) -> IndexSet<MemberId> {
         let peers = self.view.peers().filter(|m| m.record.incarnation > 0);
@@ -193,7 +208,9 @@
     ) {
         let service = self.catalog.service(arrival.service);
         let agreed = self.agreement.agreed();
-        let outlook = Outlook::new(service, arrival.bucket, agreed, &self.slots);
+        let outlook = Outlook::new(service, arrival.bucket, agreed, |slot| {
+            self.slots.owner(slot)
+        });
         let decision = match info.flow.protocol {
             Protocol::Tcp => Decision::Target(outlook.base, Reason::Base),
             Protocol::Udp => self.place_datagram(now, arrival, &outlook),
--- a/crates/cicadaweir-core/src/node/members.rs
+++ b/crates/cicadaweir-core/src/node/members.rs
@@ -287,9 +287,10 @@
     pub(super) fn refresh_members(&mut self, now: Instant) {
         let owners = self.view.iter().filter(|m| m.owns());
         let owners: Vec<MemberId> = owners.map(|m| m.record.id).collect();
-        let lost = self
+        let me = self.view.me();
+        let gained = self
             .recovery
-            .update_owners(&mut self.slots, &owners, self.view.me());
+            .update_owners(now, &mut self.slots, &owners, me);
         let me = self.view.me();
         let joining = self.phase() == Phase::Joining;
         let stays = self.view.iter().filter(|m| m.stays());
@@ -306,7 +307,7 @@
             .collect();
         self.relations.order.sort_unstable();
         self.relations.digest = self.view.digest();
-        self.acquire(now, lost);
+        self.acquire(now, gained);
         self.refresh_probing(now);
     }
 
@@ -345,6 +346,7 @@
         if matches!(self.phase(), Phase::Active | Phase::Joining) {
             self.started = now;
             self.set_phase(now, Phase::Joining);
+            self.recovery.forget_lost();
         }
     }
 
--- a/crates/cicadaweir-core/src/node/packets.rs
+++ b/crates/cicadaweir-core/src/node/packets.rs
@@ -85,12 +85,10 @@
             return self.place_by_baseline(now, arrival);
         }
         let service = self.catalog.service(arrival.service);
-        let outlook = Outlook::new(
-            service,
-            arrival.bucket,
-            self.agreement.agreed(),
-            &self.slots,
-        );
+        let from = header.map(|h| h.from);
+        let outlook = Outlook::new(service, arrival.bucket, self.agreement.agreed(), |slot| {
+            self.acting_owner(now, slot, from)
+        });
         let opening = info.kind == PacketKind::Opening;
         if !opening {
             if let Some(target) = self.recovery.handed_over(arrival.hash) {
--- a/crates/cicadaweir-core/src/node/recovery.rs
+++ b/crates/cicadaweir-core/src/node/recovery.rs
@@ -4,8 +4,10 @@
 //! generation. A member that is about to own a slot, because it joins or
 //! because the owner leaves, fetches these exceptions beforehand; once it owns
 //! the slot it fetches again, from the last owner if that one answers, or
-//! else from the others, which remember what they forwarded. Until then the
-//! slot is incomplete, and a packet of an unknown flow is not guessed.
+//! else from the others, which remember what they forwarded. This second fetch
+//! waits for [`VIEW_SETTLES`], because the last owner places flows until it has
+//! heard of the change. Until then the slot is incomplete: a packet of an
+//! unknown flow is not guessed, those who may know are asked.
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -31,6 +33,9 @@
 /// The time between two requests for the same exceptions.
 const FETCH_REPEAT: Duration = Duration::from_millis(1_500);
 
+/// How long the members' views may differ after a change.
+const VIEW_SETTLES: Duration = Duration::from_millis(1_200);
+
 /// Requests for the same exceptions before they are given up.
 const FETCH_TRIES: u32 = 4;
 
@@ -41,6 +46,7 @@
 #[derive(Debug, Clone)]
 struct Fetch {
     slots: IndexSet<u16>,
+    not_before: Instant,
     asked: Option<Instant>,
     tries: u32,
 }
@@ -61,7 +67,12 @@
     next: SlotTable,
     handed: IndexMap<u64, TargetKey>,
     fetches: IndexMap<MemberId, Fetch>,
-    incomplete: IndexSet<u16>,
+    /// Slots whose exceptions may be missing here, with those who know them.
+    incomplete: IndexMap<u16, Vec<MemberId>>,
+    /// Slots that came to this member, with their last owners.
+    gained: IndexMap<u16, (MemberId, Instant)>,
+    /// Slots that this member owned before, and since when it does not.
+    lost: IndexMap<u16, Instant>,
     transfers: Vec<Transfer>,
     served: IndexSet<MemberId>,
     ambiguous_slots: IndexSet<u16>,
@@ -84,7 +95,12 @@
 
     /// Returns whether exceptions of a slot may be missing here.
     pub fn is_incomplete(&self, slot: u16) -> bool {
-        self.incomplete.contains(&slot)
+        self.incomplete.contains_key(&slot)
+    }
+
+    /// Returns who knows the exceptions of an incomplete slot.
+    pub fn knowing(&self, slot: u16) -> Option<&[MemberId]> {
+        self.incomplete.get(&slot).map(Vec::as_slice)
     }
 
     /// Returns whether exceptions are still being fetched.
@@ -95,6 +111,7 @@
     /// Brings the owners up to date; returns the slots that came to `me`.
     pub fn update_owners(
         &mut self,
+        now: Instant,
         slots: &mut SlotTable,
         owners: &[MemberId],
         me: MemberId,
@@ -103,6 +120,19 @@
         if !slots.update(owners.iter().copied()) {
             return Vec::new();
         }
+        let settling = |at: Instant| now.since(at) < VIEW_SETTLES;
+        self.gained.retain(|_, (_, at)| settling(*at));
+        self.lost.retain(|_, at| settling(*at));
+        for slot in 0..SLOTS as u16 {
+            let (old, new) = (before[usize::from(slot)], slots.owner(slot));
+            if old == Some(me) && new != old {
+                self.lost.insert(slot, now);
+            }
+            if let (Some(old), true) = (old, new == Some(me) && old != new) {
+                self.gained.insert(slot, (old, now));
+                self.lost.swap_remove(&slot);
+            }
+        }
         (0..SLOTS as u16)
             .filter(|&s| slots.owner(s) == Some(me) && before[usize::from(s)] != Some(me))
             .map(|slot| Acquired {
@@ -112,18 +142,27 @@
             .collect()
     }
 
+    /// Gives up at once what this member owned before, as after a time in
+    /// which the others had taken it for dead.
+    pub fn forget_lost(&mut self) {
+        self.lost.clear();
+    }
+
     /// Brings the future owners up to date.
     pub fn update_next(&mut self, owners: &[MemberId]) {
         self.next.update(owners.iter().copied());
     }
 
-    fn fetch(&mut self, from: MemberId, slot: u16) {
+    fn fetch(&mut self, from: MemberId, slot: u16, not_before: Instant) {
         let fetch = self.fetches.entry(from).or_insert(Fetch {
             slots: IndexSet::new(),
+            not_before,
             asked: None,
             tries: 0,
         });
-        if fetch.slots.insert(slot) {
+        let later = not_before > fetch.not_before;
+        fetch.not_before = fetch.not_before.max(not_before);
+        if fetch.slots.insert(slot) || later {
             fetch.asked = None;
         }
     }
@@ -135,11 +174,44 @@
         }
         let fetches = &self.fetches;
         let wanted = |slot: &u16| fetches.values().any(|f| f.slots.contains(slot));
-        self.incomplete.retain(wanted);
+        self.incomplete.retain(|slot, _| wanted(slot));
     }
 }
 
 impl Node {
+    /// Returns who decides for a slot: for [`VIEW_SETTLES`] after a change,
+    /// while some members still take the last owner for the owner, that one
+    /// goes on, and the new one relays to it. What the last owner itself
+    /// relays is decided here.
+    pub(super) fn acting_owner(
+        &self,
+        now: Instant,
+        slot: u16,
+        from: Option<MemberId>,
+    ) -> Option<MemberId> {
+        let me = self.view.me();
+        let owner = self.slots.owner(slot);
+        let settling = |at: Instant| now.since(at) < VIEW_SETTLES;
+        if owner != Some(me) {
+            let lost = self.recovery.lost.get(&slot);
+            return if lost.is_some_and(|&at| settling(at)) {
+                Some(me)
+            } else {
+                owner
+            };
+        }
+        match self.recovery.gained.get(&slot) {
+            Some(&(last, at)) if settling(at) && from != Some(last) && self.answers(last) => {
+                Some(last)
+            }
+            _ => owner,
+        }
+    }
+
+    fn answers(&self, id: MemberId) -> bool {
+        self.view.get(id).is_some_and(|m| m.reachable())
+    }
+
     /// Fetches what is missing for slots that came to this member, and what
     /// will be missing for slots that are about to come.
     pub(super) fn acquire(&mut self, now: Instant, acquired: Vec<Acquired>) {
@@ -149,11 +221,11 @@
                 continue;
             }
             let sources = self.sources(before);
-            if !sources.is_empty() {
-                self.recovery.incomplete.insert(slot);
+            for &from in &sources {
+                self.recovery.fetch(from, slot, now + VIEW_SETTLES);
             }
-            for from in sources {
-                self.recovery.fetch(from, slot);
+            if !sources.is_empty() {
+                self.recovery.incomplete.insert(slot, sources);
             }
         }
         let ambiguous = std::mem::take(&mut self.recovery.ambiguous_slots);
@@ -167,9 +239,9 @@
         self.recovery.ambiguous_slots = ambiguous;
     }
 
-    fn prefetch(&mut self, _now: Instant, owner: MemberId, slot: u16) {
+    fn prefetch(&mut self, now: Instant, owner: MemberId, slot: u16) {
         if self.view.get(owner).is_some_and(|m| m.reachable()) {
-            self.recovery.fetch(owner, slot);
+            self.recovery.fetch(owner, slot, now);
         }
     }
 
@@ -207,7 +279,7 @@
         let mut requests = Vec::new();
         for (&from, fetch) in &mut self.recovery.fetches {
             let waiting = |at: Instant| now.since(at) < FETCH_REPEAT;
-            if fetch.asked.is_some_and(waiting) {
+            if now < fetch.not_before || fetch.asked.is_some_and(waiting) {
                 continue;
             }
             let reachable = self.view.get(from).is_some_and(|m| m.reachable());
--- a/crates/cicadaweir-core/src/node/silence.rs
+++ b/crates/cicadaweir-core/src/node/silence.rs
@@ -26,7 +26,7 @@
 const PATIENCE: Duration = Duration::from_millis(500);
 
 /// How long a caller has repeated one segment before its flow is suspected.
-const REPEATING: Duration = Duration::from_secs(3);
+const REPEATING: Duration = Duration::from_secs(2);
 
 /// How long a silent flow is remembered as such.
 const BROKEN_KEPT: Duration = Duration::from_secs(60);
@@ -61,7 +61,7 @@
             .window(start, WALK)
             .filter(|e| e.state == FlowState::Established)
             .filter_map(|e| {
-                let waited = FlowTable::unanswered_for(e, now)?;
+                let waited = FlowTable::repeated_for(e, now)?;
                 if waited < REPEATING || FlowTable::target_silence(e, now) < silence {
                     return None;
                 }
--- a/crates/cicadaweir-core/src/node/status.rs
+++ b/crates/cicadaweir-core/src/node/status.rs
@@ -139,7 +139,7 @@
             self.catalog.service(service),
             arrival.bucket,
             agreed,
-            &self.slots,
+            |slot| self.slots.owner(slot),
         );
         let name = |t: TargetKey| self.catalog.target(t).spec.name.clone();
         let entry = self.flows.get(hash, &flow.caller, address);
--- a/crates/cicadaweir-core/src/route/outlook.rs
+++ b/crates/cicadaweir-core/src/route/outlook.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     catalog::{Revision, Service, TargetKey},
-    membership::{MemberId, SlotTable, slot_of},
+    membership::{MemberId, slot_of},
 };
 
 /// One bucket of one service, seen from one entry VM.
@@ -16,20 +16,26 @@
     pub ambiguous: bool,
     /// The slot that the bucket falls into.
     pub slot: u16,
-    /// The owner of the slot.
+    /// The owner of the slot, or its last owner while the members' views
+    /// may differ.
     pub owner: Option<MemberId>,
 }
 
 impl Outlook {
     /// Looks at a bucket.
-    pub fn new(service: &Service, bucket: u16, agreed: Revision, slots: &SlotTable) -> Self {
+    pub fn new(
+        service: &Service,
+        bucket: u16,
+        agreed: Revision,
+        owner_of: impl FnOnce(u16) -> Option<MemberId>,
+    ) -> Self {
         let slot = slot_of(service.seed, bucket);
         Self {
             base: service.base().target(bucket),
             in_force: service.in_force(agreed).target(bucket),
             ambiguous: service.is_ambiguous(bucket),
             slot,
-            owner: slots.owner(slot),
+            owner: owner_of(slot),
         }
     }
 }
--- a/crates/cicadaweir-lab/src/main.rs
+++ b/crates/cicadaweir-lab/src/main.rs
@@ -31,6 +31,22 @@
         /// Compare with the baselines
         baselines: bool,
     },
+    /// Prints the packets of one caller, by default the first whose flow breaks
+    #[bpaf(command)]
+    Trace {
+        /// The scenario
+        #[bpaf(argument("NAME"))]
+        scenario: String,
+        /// The deployment
+        #[bpaf(argument("NAME"), fallback("compas-andino".to_owned()))]
+        deployment: String,
+        /// The seed
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+        /// The caller
+        #[bpaf(argument("N"), optional)]
+        caller: Option<u32>,
+    },
 }
 
 fn main() -> ExitCode {
@@ -40,9 +56,34 @@
             seeds,
             baselines,
         } => scenarios(&only, seeds, baselines),
+        Command::Trace {
+            scenario,
+            deployment,
+            seed,
+            caller,
+        } => trace(&scenario, &deployment, seed, caller),
     }
 }
 
+fn trace(name: &str, deployment: &str, seed: u64, caller: Option<u32>) -> ExitCode {
+    let deployment = Deployment::ALL.into_iter().find(|d| d.name() == deployment);
+    let scenario = all().into_iter().find(|s| s.name == name);
+    let (Some(scenario), Some(deployment)) = (scenario, deployment) else {
+        eprintln!("no scenario {name:?}, or no such deployment");
+        return ExitCode::FAILURE;
+    };
+    let caller = caller.or_else(|| {
+        let run = scenario.run(deployment, Policy::Owned, seed);
+        run.broken_callers.first().copied()
+    });
+    let Some(caller) = caller else {
+        println!("no flow breaks");
+        return ExitCode::SUCCESS;
+    };
+    scenario.run_world(deployment, Policy::Owned, seed, Some(caller));
+    ExitCode::SUCCESS
+}
+
 fn scenarios(only: &str, seeds: u64, baselines: bool) -> ExitCode {
     println!(
         "{:<22} {:<14} {:<14} {:>7} {:>6} {:>7} {:>6} {:>6} {:>8} {:>7} {:>6} {:>7} {:>7} {:>6}  invariants",
--- a/crates/cicadaweir-lab/src/measure.rs
+++ b/crates/cicadaweir-lab/src/measure.rs
@@ -30,6 +30,8 @@
     pub opened: u64,
     /// Open flows that broke.
     pub broken: u64,
+    /// The callers whose flows broke.
+    pub broken_callers: Vec<u32>,
     /// Flows refused with nothing delivered.
     pub refused: u64,
     /// Openings or datagrams that were never answered.
@@ -73,6 +75,7 @@
             broken_invariants: IndexMap::new(),
             opened: 0,
             broken: 0,
+            broken_callers: Vec::new(),
             refused: 0,
             unanswered: 0,
             opened_twice: 0,
--- a/crates/cicadaweir-lab/src/world/options.rs
+++ b/crates/cicadaweir-lab/src/world/options.rs
@@ -36,6 +36,8 @@
     pub loss: f64,
     /// The services.
     pub services: Vec<ServiceOptions>,
+    /// A caller whose packets are printed.
+    pub trace_caller: Option<u32>,
     /// The options of every node.
     pub node: node::Options,
 }
@@ -66,6 +68,7 @@
                     work: Duration::from_millis(10),
                 },
             ],
+            trace_caller: None,
             node: node::Options::default(),
         }
     }
