fix: hand a slot over by an answered take-over instead of by time alone

Change: the new owner relays to the last one until its take-over is answered; the last owner decides only what the new one relays to it, and nothing once it has answered. Packets may take three hops between entry VMs. Ruled out: a longer grace on one side (some pair of members always learns in the other order).

--- a/crates/cicadaweir-core/src/message.rs
+++ b/crates/cicadaweir-core/src/message.rs
@@ -105,6 +105,9 @@
     ExceptionsWanted {
         /// The slots, ascending.
         slots: Vec<u16>,
+        /// Whether the sender owns the slots now, so that whoever owned them
+        /// before stops deciding for them.
+        take_over: bool,
     },
     /// Brings exceptions.
     Exceptions {
@@ -112,6 +115,8 @@
         flows: Vec<FlowException>,
         /// Whether these are the last for the request.
         last: bool,
+        /// Whether the request was a take-over.
+        take_over: bool,
     },
     /// Asks what is remembered of a flow.
     Lookup {
--- a/crates/cicadaweir-core/src/node/members.rs
+++ b/crates/cicadaweir-core/src/node/members.rs
@@ -91,8 +91,14 @@
             Message::Known { revision } => self.agreement.hear_child(from, revision),
             Message::NotesWanted { have } => self.send_notes(from, have, out),
             Message::Notes { notes, agreed } => self.notes_from_peer(now, notes, agreed, out),
-            Message::ExceptionsWanted { slots } => self.serve_exceptions(now, from, slots),
-            Message::Exceptions { flows, last } => self.take_exceptions(now, from, flows, last),
+            Message::ExceptionsWanted { slots, take_over } => {
+                self.serve_exceptions(from, slots, take_over);
+            }
+            Message::Exceptions {
+                flows,
+                last,
+                take_over,
+            } => self.take_exceptions(from, flows, last, take_over),
             Message::Lookup { flow_hash } => self.answer_lookup(now, from, flow_hash, out),
             Message::Broken { flow_hash, target } => self.mark_broken(now, flow_hash, target),
             Message::LookupAnswer { flow_hash, memory } => {
--- a/crates/cicadaweir-core/src/node/recovery.rs
+++ b/crates/cicadaweir-core/src/node/recovery.rs
@@ -3,11 +3,15 @@
 //! The owner of a slot records every flow that it places away from the base
 //! generation. A member that is about to own a slot, because it joins or
 //! because the owner leaves, fetches these exceptions beforehand; once it owns
-//! the slot it fetches again, from the last owner if that one answers, or
-//! else from the others, which remember what they forwarded. This second fetch
-//! waits for [`VIEW_SETTLES`], because the last owner places flows until it has
-//! heard of the change. Until then the slot is incomplete: a packet of an
-//! unknown flow is not guessed, those who may know are asked.
+//! the slot it takes over: it fetches again, from the last owner if that one
+//! answers, or else from the others, which remember what they forwarded.
+//!
+//! The members' views differ for a moment after a change. The take-over
+//! therefore waits for [`VIEW_SETTLES`], and until the last owner has answered
+//! it, the new one relays to the last one, which alone decides. Once the last
+//! owner has answered, it relays whatever still comes to the new one. If the
+//! last owner is gone, a packet of an unknown flow is not guessed: those who
+//! may know are asked.
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -36,6 +40,9 @@
 /// How long the members' views may differ after a change.
 const VIEW_SETTLES: Duration = Duration::from_millis(1_200);
 
+/// How long a change of owner may take to be carried through.
+const TAKE_OVER_LIMIT: Duration = Duration::from_secs(8);
+
 /// Requests for the same exceptions before they are given up.
 const FETCH_TRIES: u32 = 4;
 
@@ -55,6 +62,7 @@
 #[derive(Debug, Clone)]
 struct Transfer {
     to: MemberId,
+    take_over: bool,
     slots: IndexSet<u16>,
     position: usize,
     handed_over: usize,
@@ -66,13 +74,16 @@
 pub(super) struct Recovery {
     next: SlotTable,
     handed: IndexMap<u64, TargetKey>,
-    fetches: IndexMap<MemberId, Fetch>,
+    /// By member, and whether it is a take-over.
+    fetches: IndexMap<(MemberId, bool), Fetch>,
     /// Slots whose exceptions may be missing here, with those who know them.
     incomplete: IndexMap<u16, Vec<MemberId>>,
     /// Slots that came to this member, with their last owners.
     gained: IndexMap<u16, (MemberId, Instant)>,
     /// Slots that this member owned before, and since when it does not.
     lost: IndexMap<u16, Instant>,
+    /// Slots that another member has taken over, whatever the view says.
+    taken: IndexMap<u16, (MemberId, Instant)>,
     transfers: Vec<Transfer>,
     served: IndexSet<MemberId>,
     ambiguous_slots: IndexSet<u16>,
@@ -120,9 +131,10 @@
         if !slots.update(owners.iter().copied()) {
             return Vec::new();
         }
-        let settling = |at: Instant| now.since(at) < VIEW_SETTLES;
-        self.gained.retain(|_, (_, at)| settling(*at));
-        self.lost.retain(|_, at| settling(*at));
+        let recent = |at: Instant| now.since(at) < TAKE_OVER_LIMIT;
+        self.gained.retain(|_, (_, at)| recent(*at));
+        self.lost.retain(|_, at| recent(*at));
+        self.taken.retain(|_, (_, at)| recent(*at));
         for slot in 0..SLOTS as u16 {
             let (old, new) = (before[usize::from(slot)], slots.owner(slot));
             if old == Some(me) && new != old {
@@ -131,6 +143,7 @@
             if let (Some(old), true) = (old, new == Some(me) && old != new) {
                 self.gained.insert(slot, (old, now));
                 self.lost.swap_remove(&slot);
+                self.taken.swap_remove(&slot);
             }
         }
         (0..SLOTS as u16)
@@ -153,36 +166,41 @@
         self.next.update(owners.iter().copied());
     }
 
-    fn fetch(&mut self, from: MemberId, slot: u16, not_before: Instant) {
-        let fetch = self.fetches.entry(from).or_insert(Fetch {
+    fn fetch(&mut self, from: MemberId, slot: u16) {
+        self.fetch_at(from, slot, false, Instant::START);
+    }
+
+    fn fetch_at(&mut self, from: MemberId, slot: u16, take_over: bool, not_before: Instant) {
+        let fetch = self.fetches.entry((from, take_over)).or_insert(Fetch {
             slots: IndexSet::new(),
             not_before,
             asked: None,
             tries: 0,
         });
-        let later = not_before > fetch.not_before;
         fetch.not_before = fetch.not_before.max(not_before);
-        if fetch.slots.insert(slot) || later {
+        if fetch.slots.insert(slot) {
             fetch.asked = None;
+            fetch.tries = 0;
         }
     }
 
     /// Ends a fetch; slots that nobody is asked for any more are complete.
-    fn end_fetch(&mut self, from: MemberId) {
-        if self.fetches.swap_remove(&from).is_none() {
+    fn end_fetch(&mut self, from: MemberId, take_over: bool) {
+        if self.fetches.swap_remove(&(from, take_over)).is_none() {
             return;
         }
-        let fetches = &self.fetches;
-        let wanted = |slot: &u16| fetches.values().any(|f| f.slots.contains(slot));
+        let take_overs = || self.fetches.iter().filter(|(key, _)| key.1);
+        let wanted = |slot: &u16| take_overs().any(|(_, f)| f.slots.contains(slot));
         self.incomplete.retain(|slot, _| wanted(slot));
     }
 }
 
 impl Node {
-    /// Returns who decides for a slot: for [`VIEW_SETTLES`] after a change,
-    /// while some members still take the last owner for the owner, that one
-    /// goes on, and the new one relays to it. What the last owner itself
-    /// relays is decided here.
+    /// Returns who decides for a slot, for a packet that `from` relayed.
+    ///
+    /// A new owner relays to the last one until its take-over is answered.
+    /// The last owner decides what the new one relays to it until it has
+    /// answered the take-over, and nothing afterwards.
     pub(super) fn acting_owner(
         &self,
         now: Instant,
@@ -191,18 +209,22 @@
     ) -> Option<MemberId> {
         let me = self.view.me();
         let owner = self.slots.owner(slot);
-        let settling = |at: Instant| now.since(at) < VIEW_SETTLES;
+        let recovery = &self.recovery;
+        let recent = |at: Instant| now.since(at) < TAKE_OVER_LIMIT;
+        if let Some(&(new, _)) = recovery.taken.get(&slot).filter(|t| recent(t.1)) {
+            if owner == Some(me) && self.answers(new) && recovery.gained.get(&slot).is_none() {
+                return Some(new);
+            }
+            return owner;
+        }
         if owner != Some(me) {
-            let lost = self.recovery.lost.get(&slot);
-            return if lost.is_some_and(|&at| settling(at)) {
-                Some(me)
-            } else {
-                owner
-            };
+            let decides = from == owner && recovery.lost.get(&slot).is_some_and(|&at| recent(at));
+            return if decides { Some(me) } else { owner };
         }
-        match self.recovery.gained.get(&slot) {
-            Some(&(last, at)) if settling(at) && from != Some(last) && self.answers(last) => {
-                Some(last)
+        match recovery.gained.get(&slot) {
+            Some(&(last, at)) if self.answers(last) => {
+                let settling = now.since(at) < VIEW_SETTLES || recovery.is_incomplete(slot);
+                if settling { Some(last) } else { owner }
             }
             _ => owner,
         }
@@ -222,7 +244,8 @@
             }
             let sources = self.sources(before);
             for &from in &sources {
-                self.recovery.fetch(from, slot, now + VIEW_SETTLES);
+                let not_before = now + VIEW_SETTLES;
+                self.recovery.fetch_at(from, slot, true, not_before);
             }
             if !sources.is_empty() {
                 self.recovery.incomplete.insert(slot, sources);
@@ -233,15 +256,15 @@
             let owner = self.slots.owner(slot);
             let comes = self.recovery.next.owner(slot) == Some(me) && owner != Some(me);
             if let (true, Some(owner)) = (comes, owner) {
-                self.prefetch(now, owner, slot);
+                self.prefetch(owner, slot);
             }
         }
         self.recovery.ambiguous_slots = ambiguous;
     }
 
-    fn prefetch(&mut self, now: Instant, owner: MemberId, slot: u16) {
+    fn prefetch(&mut self, owner: MemberId, slot: u16) {
         if self.view.get(owner).is_some_and(|m| m.reachable()) {
-            self.recovery.fetch(owner, slot, now);
+            self.recovery.fetch(owner, slot);
         }
     }
 
@@ -277,34 +300,37 @@
     fn send_fetches(&mut self, now: Instant, out: &mut Vec<Action>) {
         let mut ended = Vec::new();
         let mut requests = Vec::new();
-        for (&from, fetch) in &mut self.recovery.fetches {
+        for (&(from, take_over), fetch) in &mut self.recovery.fetches {
             let waiting = |at: Instant| now.since(at) < FETCH_REPEAT;
             if now < fetch.not_before || fetch.asked.is_some_and(waiting) {
                 continue;
             }
             let reachable = self.view.get(from).is_some_and(|m| m.reachable());
             if !reachable || fetch.tries >= FETCH_TRIES {
-                ended.push(from);
+                ended.push((from, take_over));
                 continue;
             }
             fetch.asked = Some(now);
             fetch.tries += 1;
             let mut slots: Vec<u16> = fetch.slots.iter().copied().collect();
             slots.sort_unstable();
-            requests.push((from, slots));
+            requests.push((from, slots, take_over));
         }
-        for from in ended {
-            self.recovery.end_fetch(from);
+        for (from, take_over) in ended {
+            self.recovery.end_fetch(from, take_over);
         }
-        for (to, slots) in requests {
-            self.send(to, Message::ExceptionsWanted { slots }, out);
+        for (to, slots, take_over) in requests {
+            let wanted = Message::ExceptionsWanted { slots, take_over };
+            self.send(to, wanted, out);
         }
     }
 
-    pub(super) fn serve_exceptions(&mut self, _now: Instant, to: MemberId, slots: Vec<u16>) {
-        self.recovery.transfers.retain(|t| t.to != to);
+    pub(super) fn serve_exceptions(&mut self, to: MemberId, slots: Vec<u16>, take_over: bool) {
+        let same = |t: &Transfer| t.to == to && t.take_over == take_over;
+        self.recovery.transfers.retain(|t| !same(t));
         self.recovery.transfers.push(Transfer {
             to,
+            take_over,
             slots: slots.into_iter().collect(),
             position: 0,
             handed_over: 0,
@@ -323,10 +349,21 @@
         let flows: Vec<FlowException> = transfer.pending.drain(..count).collect();
         let last = walked && transfer.pending.is_empty();
         self.recovery.budget -= f64::from(EXCEPTION_BYTES * flows.len() as u32);
-        self.send(transfer.to, Message::Exceptions { flows, last }, out);
+        let take_over = transfer.take_over;
+        let exceptions = Message::Exceptions {
+            flows,
+            last,
+            take_over,
+        };
+        self.send(transfer.to, exceptions, out);
         if last {
             self.recovery.served.insert(transfer.to);
         }
+        if last && take_over {
+            let taken = (transfer.to, self.last_tick);
+            let slots = transfer.slots.iter();
+            self.recovery.taken.extend(slots.map(|&slot| (slot, taken)));
+        }
         last
     }
 
@@ -382,10 +419,10 @@
 
     pub(super) fn take_exceptions(
         &mut self,
-        _now: Instant,
         from: MemberId,
         flows: Vec<FlowException>,
         last: bool,
+        take_over: bool,
     ) {
         let targets = self.targets.len();
         let known = flows
@@ -394,7 +431,7 @@
         let pairs = known.map(|f| (f.flow_hash, f.target));
         self.recovery.handed.extend(pairs);
         if last {
-            self.recovery.end_fetch(from);
+            self.recovery.end_fetch(from, take_over);
         }
     }
 
--- a/crates/cicadaweir-core/src/route.rs
+++ b/crates/cicadaweir-core/src/route.rs
@@ -11,4 +11,7 @@
 pub use policy::Policy;
 
 /// The most hops that a packet takes between entry VMs.
-pub const MOST_HOPS: u8 = 2;
+///
+/// To the owner, from a last owner to the new one, and back once while the
+/// last owner still decides.
+pub const MOST_HOPS: u8 = 3;
--- a/crates/cicadaweir-proto/schema/peer.capnp
+++ b/crates/cicadaweir-proto/schema/peer.capnp
@@ -58,8 +58,8 @@
     known :group { revision @13 :UInt64; }
     notesWanted :group { have @14 :UInt64; }
     notes :group { notes @15 :List(Data); agreed @16 :UInt64; }
-    exceptionsWanted :group { slots @17 :List(UInt16); }
-    exceptions :group { flows @18 :List(Exception); last @19 :Bool; }
+    exceptionsWanted :group { slots @17 :List(UInt16); takeOver @27 :Bool; }
+    exceptions :group { flows @18 :List(Exception); last @19 :Bool; tookOver @28 :Bool; }
     lookup :group { flowHash @20 :UInt64; }
     lookupAnswer :group { hash @21 :UInt64; found @22 :Bool; target @23 :UInt32; silenceMs @24 :UInt32; }
     broken :group { broken @25 :UInt64; silent @26 :UInt32; }
--- a/crates/cicadaweir-proto/src/codec/decode.rs
+++ b/crates/cicadaweir-proto/src/codec/decode.rs
@@ -76,6 +76,7 @@
         },
         Which::ExceptionsWanted(r) => Message::ExceptionsWanted {
             slots: r.get_slots()?.iter().collect(),
+            take_over: r.get_take_over(),
         },
         Which::Exceptions(r) => Message::Exceptions {
             flows: r
@@ -87,6 +88,7 @@
                 })
                 .collect(),
             last: r.get_last(),
+            take_over: r.get_took_over(),
         },
         Which::Lookup(r) => Message::Lookup {
             flow_hash: r.get_flow_hash(),
--- a/crates/cicadaweir-proto/src/codec/encode.rs
+++ b/crates/cicadaweir-proto/src/codec/encode.rs
@@ -66,17 +66,22 @@
                 list.set(at, &note::to_json(release));
             }
         }
-        Message::ExceptionsWanted { slots } => {
-            let mut list = envelope
-                .init_exceptions_wanted()
-                .init_slots(slots.len() as u32);
+        Message::ExceptionsWanted { slots, take_over } => {
+            let mut b = envelope.init_exceptions_wanted();
+            b.set_take_over(*take_over);
+            let mut list = b.init_slots(slots.len() as u32);
             for (at, &slot) in (0..).zip(slots) {
                 list.set(at, slot);
             }
         }
-        Message::Exceptions { flows, last } => {
+        Message::Exceptions {
+            flows,
+            last,
+            take_over,
+        } => {
             let mut b = envelope.init_exceptions();
             b.set_last(*last);
+            b.set_took_over(*take_over);
             let mut list = b.init_flows(flows.len() as u32);
             for (at, flow) in (0..).zip(flows) {
                 let mut item = list.reborrow().get(at);
--- a/crates/cicadaweir-proto/src/peer_capnp.rs
+++ b/crates/cicadaweir-proto/src/peer_capnp.rs
@@ -2069,6 +2069,7 @@
         pub fn init_exceptions_wanted(mut self, ) -> crate::peer_capnp::envelope::exceptions_wanted::Builder<'a> {
             self.builder.set_data_field::<u16>(1, 8);
             self.builder.reborrow().get_pointer_field(0).clear();
+            self.builder.set_bool_field(192, false);
             self.builder.into()
         }
         #[inline]
@@ -2076,6 +2077,7 @@
             self.builder.set_data_field::<u16>(1, 9);
             self.builder.reborrow().get_pointer_field(0).clear();
             self.builder.set_bool_field(64, false);
+            self.builder.set_bool_field(65, false);
             self.builder.into()
         }
         #[inline]
@@ -4286,6 +4288,10 @@
             pub fn has_slots(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_take_over(self) -> bool {
+                self.reader.get_bool_field(192)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -4356,6 +4362,14 @@
             pub fn has_slots(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_take_over(self) -> bool {
+                self.builder.get_bool_field(192)
+            }
+            #[inline]
+            pub fn set_take_over(&mut self, value: bool)  {
+                self.builder.set_bool_field(192, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4367,7 +4381,7 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 53] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(170, 159, 30, 180, 42, 133, 70, 209),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
@@ -4377,7 +4391,7 @@
                 ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -4385,14 +4399,21 @@
                 ::capnp::word(111, 112, 101, 46, 101, 120, 99, 101),
                 ::capnp::word(112, 116, 105, 111, 110, 115, 87, 97),
                 ::capnp::word(110, 116, 101, 100, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 192, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 27, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(61, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(60, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 108, 111, 116, 115, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4405,10 +4426,20 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 97, 107, 101, 79, 118, 101, 114),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::primitive_list::Owned<u16> as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4422,9 +4453,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0xd146_852a_b41e_9faa;
         }
     }
@@ -4502,6 +4533,10 @@
             pub fn get_last(self) -> bool {
                 self.reader.get_bool_field(64)
             }
+            #[inline]
+            pub fn get_took_over(self) -> bool {
+                self.reader.get_bool_field(65)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -4580,6 +4615,14 @@
             pub fn set_last(&mut self, value: bool)  {
                 self.builder.set_bool_field(64, value);
             }
+            #[inline]
+            pub fn get_took_over(self) -> bool {
+                self.builder.get_bool_field(65)
+            }
+            #[inline]
+            pub fn set_took_over(&mut self, value: bool)  {
+                self.builder.set_bool_field(65, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4591,7 +4634,7 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 51] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 67] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(247, 100, 66, 35, 220, 131, 0, 185),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
@@ -4601,28 +4644,35 @@
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 69, 110, 118, 101, 108),
                 ::capnp::word(111, 112, 101, 46, 101, 120, 99, 101),
                 ::capnp::word(112, 116, 105, 111, 110, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(61, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(89, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 65, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 28, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(93, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(102, 108, 111, 119, 115, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4643,11 +4693,21 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 111, 111, 107, 79, 118, 101, 114),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::struct_list::Owned<crate::peer_capnp::exception::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4661,9 +4721,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
             pub(crate) const TYPE_ID: u64 = 0xb900_83dc_2342_64f7;
         }
     }
