feat: pace answers fairly, with short ones first, and dispatch units at most once

Cause: short answers wait behind downloads; requests have no admission unit. Change: deficit round robin with new flows first (pace), wired into the daemon as limits.answer_rate; a dispatcher for units with identity, deadline, size class and idempotence (request). Ruled out: the quota, because flows count as short until they have sent the 64 KB that tells them apart, and because it wastes what nobody else uses. Conclusion: fair queueing stays; KIP-73's exclusion under quota does not.

--- a/crates/cicadaweir-core/src/lib.rs
+++ b/crates/cicadaweir-core/src/lib.rs
@@ -14,6 +14,8 @@
 //! | [`agreement`] | when a generation that is known comes into force |
 //! | [`route`] | where one packet goes |
 //! | [`load`] | which targets take no or less new work, and who is refused |
+//! | [`pace`] | which queued answer leaves next |
+//! | [`request`] | the admission unit: queue, slots, deadline, at-most-once |
 //! | [`node`] | one entry VM: all of the above behind one event loop |
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
@@ -29,8 +31,10 @@
 pub mod membership;
 pub mod message;
 pub mod node;
+pub mod pace;
 pub mod packet;
 pub mod placement;
 pub mod prelude;
+pub mod request;
 pub mod route;
 pub mod time;
--- a/crates/cicadaweir-lab/src/lib.rs
+++ b/crates/cicadaweir-lab/src/lib.rs
@@ -10,5 +10,6 @@
 #![forbid(unsafe_code)]
 
 pub mod measure;
+pub mod pacing;
 pub mod scenario;
 pub mod world;
--- a/crates/cicadaweir-lab/src/main.rs
+++ b/crates/cicadaweir-lab/src/main.rs
@@ -12,6 +12,7 @@
 use cicadaweir_core::route::Policy;
 use cicadaweir_lab::{
     measure::Measures,
+    pacing::{self, Pacing},
     scenario::{Deployment, Scenario, all},
 };
 
@@ -31,6 +32,9 @@
         /// Compare with the baselines
         baselines: bool,
     },
+    /// Tries policies for short answers beside downloads
+    #[bpaf(command)]
+    Pacing,
     /// Prints the packets of one caller, by default the first whose flow breaks
     #[bpaf(command)]
     Trace {
@@ -56,6 +60,7 @@
             seeds,
             baselines,
         } => scenarios(&only, seeds, baselines),
+        Command::Pacing => pacing(),
         Command::Trace {
             scenario,
             deployment,
@@ -65,6 +70,37 @@
     }
 }
 
+fn pacing() -> ExitCode {
+    let alone = pacing::run(Pacing::Fair, 0, 1)
+        .short
+        .value_at_quantile(0.99);
+    println!(
+        "{:<12} {:>9} {:>14} {:>9} {:>14} {:>20}",
+        "policy", "downloads", "short p99 us", "to alone", "download MB/s", "least/most download"
+    );
+    let policies = [
+        ("fifo", Pacing::Fifo),
+        ("quota 50%", Pacing::Quota(0.5)),
+        ("quota 70%", Pacing::Quota(0.7)),
+        ("quota 90%", Pacing::Quota(0.9)),
+        ("fair", Pacing::Fair),
+    ];
+    for downloads in [10, 100] {
+        for (name, policy) in policies {
+            let outcome = pacing::run(policy, downloads, 1);
+            let p99 = outcome.short.value_at_quantile(0.99);
+            let (least, most) = outcome.download_spread;
+            println!(
+                "{name:<12} {downloads:>9} {p99:>14} {:>9.2} {:>14.2} {:>20.3}",
+                p99 as f64 / alone as f64,
+                outcome.download_rate / 1e6,
+                least as f64 / most.max(1) as f64
+            );
+        }
+    }
+    ExitCode::SUCCESS
+}
+
 fn trace(name: &str, deployment: &str, seed: u64, caller: Option<u32>) -> ExitCode {
     let deployment = Deployment::ALL.into_iter().find(|d| d.name() == deployment);
     let scenario = all().into_iter().find(|s| s.name == name);
--- a/crates/cicadaweird/src/daemon/engine.rs
+++ b/crates/cicadaweird/src/daemon/engine.rs
@@ -20,6 +20,7 @@
     control::{ExplainBody, Query, Reply, StatusBody},
     inbox::Input,
     metrics::Reporter,
+    pacer::Pacer,
     platform::Shared,
     pool::Pool,
     settings::Settings,
@@ -34,8 +35,9 @@
     stopping::Stopping,
 };
 
-/// Packets that may wait for an answer of another entry VM.
-const POOL_PACKETS: u32 = 1_024;
+/// Packets that may wait: for an answer of another entry VM, or for their turn
+/// on the way out.
+const POOL_PACKETS: u32 = 8_192;
 
 /// The time between two reports of metrics.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -52,6 +54,7 @@
     pub shared: Arc<Shared>,
     pub probes: Sender<(TargetKey, SocketAddr)>,
     pub tracer: Tracer,
+    pub pacer: Option<Pacer>,
     hash_key: hash::HashKey,
     started: Instant,
     reporter: Reporter,
@@ -90,6 +93,11 @@
             shared,
             probes,
             tracer: Tracer::new(settings.trace.one_in, settings.member.id),
+            pacer: Pacer::new(
+                settings.limits.answer_rate,
+                POOL_PACKETS as usize / 2,
+                Instant::now(),
+            ),
             hash_key,
             started: Instant::now(),
             reporter: Reporter::new(settings.metrics.statsd),
@@ -100,6 +108,10 @@
         }
     }
 
+    pub(super) fn flow_hash(&self, flow: &cicadaweir_core::flow::FlowKey) -> u64 {
+        hash::flow(&self.hash_key, flow)
+    }
+
     fn now(&self) -> time::Instant {
         time::Instant::from_micros(self.started.elapsed().as_micros() as u64)
     }
@@ -158,6 +170,7 @@
         };
         Current {
             packet: self.pool.offer(),
+            flow: info.flow,
             bytes,
             trace,
             arrived: if trace == 0 {
@@ -304,6 +317,7 @@
     /// Lets time pass.
     pub fn tick(&mut self, tunnel: &BatchSocket, peer: &BatchSocket) {
         self.step(tunnel, peer, Event::Tick, None);
+        self.release_paced(tunnel);
         self.share();
         let now = Instant::now();
         if now >= self.next_report {
--- a/crates/cicadaweird/src/daemon/outputs.rs
+++ b/crates/cicadaweird/src/daemon/outputs.rs
@@ -18,6 +18,8 @@
 pub(super) struct Current<'a> {
     /// The handle that the core was told.
     pub packet: PacketRef,
+    /// The flow.
+    pub flow: FlowKey,
     /// The datagram.
     pub bytes: &'a [u8],
     /// The trace identity, 0 if the packet is not traced.
@@ -56,7 +58,9 @@
             }
             Action::ToCaller { packet } => {
                 let to = self.fabric;
-                self.send_packet(tunnel, current, packet, to);
+                if !self.queue_answer(tunnel, current, packet) {
+                    self.send_packet(tunnel, current, packet, to);
+                }
                 self.trace(current, "answer", || format!("fabric {to}"));
             }
             Action::Relay { packet, to, header } => self.relay(peer, current, packet, to, &header),
@@ -100,6 +104,46 @@
         }
     }
 
+    /// Queues an answer for its turn; returns whether it did.
+    fn queue_answer(
+        &mut self,
+        tunnel: &BatchSocket,
+        current: Option<Current<'_>>,
+        packet: PacketRef,
+    ) -> bool {
+        let Some(current) = current.filter(|c| c.packet == packet) else {
+            return false;
+        };
+        let hash = self.flow_hash(&current.flow);
+        let Some(pacer) = &mut self.pacer else {
+            return false;
+        };
+        if self.pool.keep(packet, current.bytes) {
+            let dropped = pacer.push(hash, packet, current.bytes.len());
+            if let Some(dropped) = dropped {
+                self.pool.release(dropped);
+                self.counters
+                    .error(ErrorKind::QueueFull, "the way out is full");
+            }
+            self.release_paced(tunnel);
+        }
+        true
+    }
+
+    /// Sends the queued answers whose turn has come.
+    pub(super) fn release_paced(&mut self, tunnel: &BatchSocket) {
+        let Some(pacer) = &mut self.pacer else {
+            return;
+        };
+        let now = std::time::Instant::now();
+        while let Some(packet) = pacer.pop(now) {
+            if let Some(bytes) = self.pool.get(packet) {
+                tunnel.send(self.fabric, bytes);
+            }
+            self.pool.release(packet);
+        }
+    }
+
     fn relay(
         &mut self,
         peer: &BatchSocket,
--- a/crates/cicadaweird/src/lib.rs
+++ b/crates/cicadaweird/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`platform`] | the store and the membership list, behind one trait |
 //! | [`control`] | the HTTP endpoint that the tool asks |
 //! | [`probe`] | health and load of targets |
+//! | [`pacer`] | the paced way out towards callers |
 //! | [`metrics`] | statsd |
 //! | [`tracing`] | spans of sampled flows |
 #![deny(missing_docs)]
@@ -23,6 +24,7 @@
 pub mod daemon;
 pub mod inbox;
 pub mod metrics;
+pub mod pacer;
 pub mod platform;
 pub mod pool;
 pub mod probe;
--- a/crates/cicadaweird/src/settings/check.rs
+++ b/crates/cicadaweird/src/settings/check.rs
@@ -75,6 +75,7 @@
             ("limits.stop_secs", l.stop_secs, 1, 86_400),
             ("limits.silence_secs", l.silence_secs, 2, 600),
             ("limits.probe_ms", l.probe_ms, 50, 60_000),
+            ("limits.answer_rate", l.answer_rate, 0, 100_000_000_000),
         ];
         for (key, value, least, most) in bounds {
             let fits = (least..=most).contains(&value);
@@ -115,6 +116,7 @@
         "limits.leave_secs" | "limits.quiet_stop_secs" => "1 to 600",
         "limits.stop_secs" => "1 to 86400",
         "limits.silence_secs" => "2 to 600",
+        "limits.answer_rate" => "0 to 100000000000",
         _ => "50 to 60000",
     }
 }
--- a/crates/cicadaweird/src/settings/file.rs
+++ b/crates/cicadaweird/src/settings/file.rs
@@ -83,6 +83,9 @@
     pub silence_secs: u64,
     /// Milliseconds between two probes of a target.
     pub probe_ms: u64,
+    /// Bytes a second of answers towards callers, shared fairly with short
+    /// answers first; 0 for no limit.
+    pub answer_rate: u64,
     /// Whether openings are refused when targets are full.
     pub refuse: bool,
 }
@@ -98,6 +101,7 @@
             stop_secs: 60,
             silence_secs: 10,
             probe_ms: 500,
+            answer_rate: 0,
             refuse: true,
         }
     }
