feat: measure one daemon's control work from 9 to 2,100 members

Change: 'lab capacity' times ticks, probes, view changes, release notes, marks and reports of one real node, and counts its bytes.

--- a/crates/cicadaweir-lab/src/lib.rs
+++ b/crates/cicadaweir-lab/src/lib.rs
@@ -9,6 +9,7 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod capacity;
 pub mod measure;
 pub mod pacing;
 pub mod scenario;
--- a/crates/cicadaweir-lab/src/main.rs
+++ b/crates/cicadaweir-lab/src/main.rs
@@ -11,6 +11,7 @@
 use bpaf::Bpaf;
 use cicadaweir_core::route::Policy;
 use cicadaweir_lab::{
+    capacity::{self, Cost, Size},
     measure::Measures,
     pacing::{self, Pacing},
     scenario::{Deployment, Scenario, all},
@@ -32,6 +33,9 @@
         /// Compare with the baselines
         baselines: bool,
     },
+    /// Measures one daemon's control work at several sizes
+    #[bpaf(command)]
+    Capacity,
     /// Tries policies for short answers beside downloads
     #[bpaf(command)]
     Pacing,
@@ -60,6 +64,7 @@
             seeds,
             baselines,
         } => scenarios(&only, seeds, baselines),
+        Command::Capacity => capacity(),
         Command::Pacing => pacing(),
         Command::Trace {
             scenario,
@@ -70,6 +75,98 @@
     }
 }
 
+/// Sizes by members, with the target size last.
+const SIZES: [Size; 5] = [
+    Size {
+        members: 9,
+        services: 2,
+        targets: 18,
+    },
+    Size {
+        members: 64,
+        services: 100,
+        targets: 700,
+    },
+    Size {
+        members: 256,
+        services: 400,
+        targets: 2_800,
+    },
+    Size {
+        members: 1_024,
+        services: 1_500,
+        targets: 10_700,
+    },
+    Size {
+        members: 2_100,
+        services: 3_100,
+        targets: 22_000,
+    },
+];
+
+fn capacity() -> ExitCode {
+    println!(
+        "{:>8} {:>9} {:>8} {:>9} {:>9} {:>10} {:>10} {:>10} {:>10} {:>8} {:>9} {:>9} {:>9}",
+        "members",
+        "services",
+        "targets",
+        "tick us",
+        "probe us",
+        "view us",
+        "note us",
+        "mark us",
+        "report us",
+        "probed",
+        "quiet B/s",
+        "news B",
+        "mem MB"
+    );
+    let mut costs = Vec::new();
+    for size in SIZES {
+        let c = capacity::measure(size);
+        println!(
+            "{:>8} {:>9} {:>8} {:>9.2} {:>9.2} {:>10.1} {:>10.1} {:>10.1} {:>10.2} {:>8.1} {:>9.0} {:>9.0} {:>9.1}",
+            size.members,
+            size.services,
+            size.targets,
+            c.tick_us,
+            c.probe_us,
+            c.view_us,
+            c.note_us,
+            c.mark_us,
+            c.report_us,
+            c.probed,
+            c.quiet_bytes,
+            c.news_bytes,
+            c.memory / 1e6
+        );
+        costs.push((size, c));
+    }
+    print_slopes(&costs);
+    ExitCode::SUCCESS
+}
+
+/// Prints the line through each cost, by members.
+fn print_slopes(costs: &[(Size, Cost)]) {
+    let slope = |name: &str, value: fn(&Cost) -> f64| {
+        let points: Vec<(f64, f64)> = costs
+            .iter()
+            .map(|(size, cost)| (f64::from(size.members), value(cost)))
+            .collect();
+        let (base, slope) = capacity::fit(&points);
+        println!("slope {name:<10} {base:>10.2} + {slope:>9.4} a member");
+    };
+    slope("tick us", |c| c.tick_us);
+    slope("probe us", |c| c.probe_us);
+    slope("view us", |c| c.view_us);
+    slope("note us", |c| c.note_us);
+    slope("mark us", |c| c.mark_us);
+    slope("report us", |c| c.report_us);
+    slope("quiet B/s", |c| c.quiet_bytes);
+    slope("news B", |c| c.news_bytes);
+    slope("memory MB", |c| c.memory / 1e6);
+}
+
 fn pacing() -> ExitCode {
     let alone = pacing::run(Pacing::Fair, 0, 1)
         .short
