perf: take view changes and release notes apart so that none stalls the loop

Cause: a release note copied the whole catalog; a view change scored every target against every member of its zone; a tick looked at every target. Change: services and targets are shared between copies of the catalog; probers come from a slot table a zone, changed by differences; ambiguous slots are kept service by service; what looks at all members runs every 50 ms. Ruled out: doing the same work on another thread (the core has none).

--- a/crates/cicadaweir-core/src/catalog/apply.rs
+++ b/crates/cicadaweir-core/src/catalog/apply.rs
@@ -1,5 +1,7 @@
 //! Applying a release note.
 
+use std::sync::Arc;
+
 use crate::{hash, load::Mark, placement};
 
 use super::{
@@ -48,7 +50,8 @@
             Change::AddService(spec) => self.add_service(spec),
             Change::WithdrawService { service } => {
                 let key = self.live_service(service)?;
-                self.services[key.0 as usize].withdrawn = Some(self.revision.next());
+                let withdrawn = Some(self.revision.next());
+                self.service_mut(key).withdrawn = withdrawn;
                 Ok(key)
             }
             Change::AddTarget { service, target } => {
@@ -61,6 +64,10 @@
         }
     }
 
+    fn service_mut(&mut self, key: ServiceKey) -> &mut Service {
+        Arc::make_mut(&mut self.services[key.0 as usize])
+    }
+
     fn live_service(&self, name: &str) -> Result<ServiceKey, NoteError> {
         self.service_named(name)
             .filter(|&key| self.service(key).withdrawn.is_none())
@@ -69,14 +76,14 @@
 
     fn add_service(&mut self, spec: &ServiceSpec) -> Result<ServiceKey, NoteError> {
         check_name(&spec.name)?;
-        if self.by_name.contains_key(&spec.name) {
+        if self.by_name.contains_key(spec.name.as_str()) {
             return Err(NoteError::ServiceExists(spec.name.clone()));
         }
         if spec.addresses.is_empty() {
             return Err(NoteError::WithoutAddress(spec.name.clone()));
         }
         let key = ServiceKey(self.services.len() as u32);
-        self.services.push(Service {
+        self.services.push(Arc::new(Service {
             name: spec.name.clone(),
             seed: hash::name(&spec.name),
             addresses: Vec::new(),
@@ -84,8 +91,8 @@
             withdrawn: None,
             generations: Vec::new(),
             ambiguous: Vec::new(),
-        });
-        self.by_name.insert(spec.name.clone(), key);
+        }));
+        self.by_name.insert(spec.name.as_str().into(), key);
         for address in &spec.addresses {
             if let Some(&owner) = self.addresses.get(address) {
                 let owner = self.service(owner).name.clone();
@@ -95,9 +102,8 @@
                 return Err(NoteError::TooManyAddresses);
             }
             let (at, _) = self.addresses.insert_full(*address, key);
-            self.services[key.0 as usize]
-                .addresses
-                .push(AddressKey(at as u32));
+            let address = AddressKey(at as u32);
+            self.service_mut(key).addresses.push(address);
         }
         for target in &spec.targets {
             self.add_target(key, target)?;
@@ -125,14 +131,14 @@
             ));
         }
         let target = TargetKey(self.targets.len() as u32);
-        self.targets.push(Target {
+        self.targets.push(Arc::new(Target {
             service: key,
             spec: spec.clone(),
             withdrawn: false,
             mark: Mark::Normal,
-        });
-        let service = &mut self.services[key.0 as usize];
-        service.targets.insert(spec.name.clone(), target);
+        }));
+        let targets = &mut self.service_mut(key).targets;
+        targets.insert(spec.name.clone(), target);
         Ok(())
     }
 
@@ -148,7 +154,7 @@
     fn change_target(&mut self, service: &str, spec: &TargetSpec) -> Result<ServiceKey, NoteError> {
         check_target(service, spec)?;
         let key = self.live_target(service, &spec.name)?;
-        let target = &mut self.targets[key.0 as usize];
+        let target = Arc::make_mut(&mut self.targets[key.0 as usize]);
         if target.spec.endpoint != spec.endpoint || target.spec.zone != spec.zone {
             return Err(NoteError::TargetMoved(
                 service.to_owned(),
@@ -161,10 +167,10 @@
 
     fn withdraw_target(&mut self, service: &str, name: &str) -> Result<ServiceKey, NoteError> {
         let key = self.live_target(service, name)?;
-        let target = &mut self.targets[key.0 as usize];
+        let target = Arc::make_mut(&mut self.targets[key.0 as usize]);
         target.withdrawn = true;
         let service = target.service;
-        self.services[service.0 as usize].targets.shift_remove(name);
+        self.service_mut(service).targets.shift_remove(name);
         Ok(service)
     }
 
@@ -198,9 +204,9 @@
             revision,
             superseded: None,
             targets: candidates.iter().map(|c| (c.0, c.2)).collect(),
-            table: placement::build(service.seed, &candidates, self.options),
+            table: placement::build(service.seed, &candidates, self.options).into(),
         };
-        self.services[key.0 as usize].generations.push(generation);
+        self.service_mut(key).generations.push(generation);
         self.refresh_ambiguous(key);
         Ok(())
     }
--- a/crates/cicadaweir-core/src/catalog/index.rs
+++ b/crates/cicadaweir-core/src/catalog/index.rs
@@ -1,24 +1,29 @@
 //! The catalog: arenas of services, addresses and targets.
 
+use std::sync::Arc;
+
 use indexmap::IndexMap;
 
 use crate::{
     flow::{Endpoint, FlowKey},
     load::Mark,
-    placement::{self, BUCKETS},
+    placement::{self, BUCKETS, Generation},
     time::{Duration, Instant},
 };
 
 use super::{AddressKey, AddressSpec, NoteId, Revision, Service, ServiceKey, Target, TargetKey};
 
 /// Everything that the release notes up to one revision leave.
+///
+/// Services and targets are shared between copies, so that a release note is
+/// tried on a copy at the cost of what it touches.
 #[derive(Debug, Clone, Default)]
 pub struct Catalog {
     pub(super) revision: Revision,
     pub(super) note: NoteId,
-    pub(super) services: Vec<Service>,
-    pub(super) by_name: IndexMap<String, ServiceKey>,
-    pub(super) targets: Vec<Target>,
+    pub(super) services: Vec<Arc<Service>>,
+    pub(super) by_name: IndexMap<Arc<str>, ServiceKey>,
+    pub(super) targets: Vec<Arc<Target>>,
     pub(super) addresses: IndexMap<AddressSpec, ServiceKey>,
     pub(super) options: placement::Options,
 }
@@ -83,13 +88,13 @@
     /// Iterates over all services, withdrawn ones too.
     pub fn services(&self) -> impl Iterator<Item = (ServiceKey, &Service)> {
         let keys = (0..).map(ServiceKey);
-        keys.zip(&self.services)
+        keys.zip(self.services.iter().map(Arc::as_ref))
     }
 
     /// Iterates over all targets, withdrawn ones too.
     pub fn targets(&self) -> impl Iterator<Item = (TargetKey, &Target)> {
         let keys = (0..).map(TargetKey);
-        keys.zip(&self.targets)
+        keys.zip(self.targets.iter().map(Arc::as_ref))
     }
 
     /// Finds the target of a service, withdrawn or not, whose tunnel endpoint
@@ -99,17 +104,17 @@
         service
             .generations
             .iter()
-            .flat_map(|g| &g.targets)
+            .flat_map(|g| g.targets.iter())
             .map(|t| t.0)
             .find(|&t| self.target(t).spec.endpoint.ip == from.ip)
     }
 
     /// Sets the mark of a target; returns whether it changed.
     pub fn set_mark(&mut self, key: TargetKey, mark: Mark) -> bool {
-        let target = &mut self.targets[key.0 as usize];
-        if target.mark == mark {
+        if self.target(key).mark == mark {
             return false;
         }
+        let target = Arc::make_mut(&mut self.targets[key.0 as usize]);
         target.mark = mark;
         let service = target.service;
         self.refresh_ambiguous(service);
@@ -123,7 +128,7 @@
         key: ServiceKey,
         mut retire: impl FnMut(&placement::Generation) -> bool,
     ) {
-        let generations = &mut self.services[key.0 as usize].generations;
+        let generations = &mut Arc::make_mut(&mut self.services[key.0 as usize]).generations;
         let before = generations.len();
         while generations.len() > 1 && retire(&generations[0]) {
             generations.remove(0);
@@ -136,11 +141,17 @@
     /// Notes the time at which older generations went out of force.
     pub fn supersede(&mut self, in_force: Revision, now: Instant) {
         for service in &mut self.services {
+            if service.generations.len() < 2 {
+                continue;
+            }
             let newest = service.in_force(in_force).revision;
-            for g in &mut service.generations {
-                if g.revision < newest && g.superseded.is_none() {
-                    g.superseded = Some(now);
-                }
+            let open = |g: &Generation| g.revision < newest && g.superseded.is_none();
+            if !service.generations.iter().any(open) {
+                continue;
+            }
+            let generations = &mut Arc::make_mut(service).generations;
+            for g in generations.iter_mut().filter(|g| open(g)) {
+                g.superseded = Some(now);
             }
         }
     }
@@ -169,7 +180,7 @@
     /// Recomputes which buckets of a service are ambiguous.
     pub(super) fn refresh_ambiguous(&mut self, key: ServiceKey) {
         let targets = &self.targets;
-        let service = &mut self.services[key.0 as usize];
+        let service = Arc::make_mut(&mut self.services[key.0 as usize]);
         let mut bits = vec![0u64; BUCKETS / 64];
         for bucket in 0..BUCKETS {
             let base = service.generations[0].table[bucket];
--- a/crates/cicadaweir-core/src/node.rs
+++ b/crates/cicadaweir-core/src/node.rs
@@ -1,5 +1,6 @@
 //! One entry VM's decisions behind one event loop.
 
+mod ambiguous;
 mod counters;
 mod health;
 mod loads;
@@ -10,6 +11,7 @@
 mod options;
 mod packets;
 mod placing;
+mod probers;
 mod recovery;
 mod silence;
 mod status;
@@ -35,6 +37,7 @@
 use health::TargetState;
 use lookup::Lookups;
 use members::Relations;
+use probers::Probers;
 use recovery::Recovery;
 
 /// How often a driver sends [`Event::Tick`].
@@ -68,6 +71,7 @@
     targets: Vec<TargetState>,
     mark_news: IndexMap<(TargetKey, bool), (MarkUpdate, u32)>,
     load_news: IndexMap<TargetKey, u32>,
+    probers: Probers,
     watching: bool,
     counters: Counters,
 }
@@ -104,6 +108,7 @@
             targets: Vec::new(),
             mark_news: IndexMap::new(),
             load_news: IndexMap::new(),
+            probers: Probers::default(),
             watching: false,
             counters: Counters::default(),
             options,
--- a/crates/cicadaweir-core/src/node/health.rs
+++ b/crates/cicadaweir-core/src/node/health.rs
@@ -3,7 +3,6 @@
 use crate::{
     hash,
     load::{Admission, Judge, Mark, Passive},
-    membership::{Member, MemberId},
     prelude::*,
 };
 
@@ -22,7 +21,6 @@
     /// When the mark in use last changed here.
     pub marked_since: Instant,
     pub load_version: u32,
-    pub probed_here: bool,
     pub next_probe: Instant,
 }
 
@@ -39,29 +37,32 @@
     }
 
     /// Recomputes which targets this member probes: each target has one
-    /// prober, of its own zone if that has any member.
+    /// prober, of its own zone if that has any member. Targets fall into slots
+    /// by key, and each zone's members share its slots.
     pub(super) fn refresh_probing(&mut self, now: Instant) {
-        let members: Vec<Member> = self.view.iter().filter(|m| m.owns()).copied().collect();
+        if !self.probers.update(&self.view) && self.probers.targets == self.targets.len() {
+            return;
+        }
         let me = self.view.me();
+        self.probers.targets = self.targets.len();
+        self.probers.mine.clear();
         for (key, target) in self.catalog.targets() {
-            let zone = target.spec.zone;
-            let local = members.iter().filter(|m| m.record.zone == zone);
-            let prober = best_prober(key, local).or_else(|| best_prober(key, members.iter()));
-            let state = &mut self.targets[key.0 as usize];
-            state.probed_here = prober == Some(me) && target.spec.probe.is_some();
+            let prober = self.probers.prober(key, target.spec.zone);
+            if prober == Some(me) && target.spec.probe.is_some() {
+                self.probers.mine.push(key);
+            }
         }
         self.refresh_marks(now);
     }
 
     pub(super) fn tick_health(&mut self, now: Instant, out: &mut Vec<Action>) {
         let interval = self.options.load.probe_interval;
-        for (at, state) in self.targets.iter_mut().enumerate() {
-            if !state.probed_here || now < state.next_probe {
-                continue;
+        for &target in &self.probers.mine {
+            let state = &mut self.targets[target.0 as usize];
+            if now >= state.next_probe {
+                state.next_probe = now + interval;
+                out.push(Action::ProbeTarget { target });
             }
-            state.next_probe = now + interval;
-            let target = TargetKey(at as u32);
-            out.push(Action::ProbeTarget { target });
         }
     }
 
@@ -99,9 +100,3 @@
         state.passive.answered_within(now, span) && self.catalog.target(target).mark != Mark::Down
     }
 }
-
-fn best_prober<'a>(key: TargetKey, members: impl Iterator<Item = &'a Member>) -> Option<MemberId> {
-    members
-        .map(|m| m.record.id)
-        .max_by_key(|id| hash::mix(u64::from(id.0), u64::from(key.0) | 1 << 40))
-}
--- a/crates/cicadaweir-core/src/node/marks.rs
+++ b/crates/cicadaweir-core/src/node/marks.rs
@@ -110,12 +110,12 @@
         }
         state.marked_since = now;
         self.catalog.set_mark(target, mark);
-        self.refresh_ambiguous_slots();
+        let service = self.catalog.target(target).service;
+        self.refresh_ambiguous_slots(service);
     }
 
     fn sees_zone_of(&self, target: TargetKey) -> bool {
-        let zone = self.catalog.target(target).spec.zone;
-        self.view.iter().any(|m| m.owns() && m.record.zone == zone)
+        self.probers.sees(self.catalog.target(target).spec.zone)
     }
 
     /// Puts all marks to use again after the view changed, and passes on
--- a/crates/cicadaweir-core/src/node/members.rs
+++ b/crates/cicadaweir-core/src/node/members.rs
@@ -16,6 +16,9 @@
 /// The most records in one page of members.
 const MEMBERS_PAGE: usize = 24;
 
+/// The time between two looks at every member.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How long a newcomer waits for exceptions before it takes its share.
 const JOIN_LIMIT: Duration = Duration::from_secs(3);
 
@@ -39,6 +42,7 @@
     /// Whether the full list of members was asked for.
     synced: bool,
     last_heard: Option<Instant>,
+    next_review: Instant,
     leave_deadline: Option<Instant>,
 }
 
@@ -254,13 +258,6 @@
     }
 
     pub(super) fn tick_members(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let news = self.detector.judge(now, &mut self.view);
-        for update in &news {
-            self.dissemination.push(*update, self.view.len());
-        }
-        if !news.is_empty() {
-            self.refresh_members(now);
-        }
         if let Some(probe) = self.detector.start_probe(now, &self.view) {
             let gossip = self.gossip_for(probe.member);
             let sequence = probe.sequence;
@@ -269,6 +266,21 @@
         for (probe, helpers) in self.detector.indirect_probes(now, &self.view) {
             self.ask_helpers(&probe, &helpers, out);
         }
+        if now >= self.relations.next_review {
+            self.relations.next_review = now + REVIEW_INTERVAL;
+            self.review_members(now, out);
+        }
+    }
+
+    /// Does what takes a look at every member.
+    fn review_members(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let news = self.detector.judge(now, &mut self.view);
+        for update in &news {
+            self.dissemination.push(*update, self.view.len());
+        }
+        if !news.is_empty() {
+            self.refresh_members(now);
+        }
         let period = self.options.membership.period;
         self.relations
             .errands
--- a/crates/cicadaweir-core/src/node/notes.rs
+++ b/crates/cicadaweir-core/src/node/notes.rs
@@ -34,14 +34,14 @@
     }
 
     fn apply_note(&mut self, now: Instant, note: Arc<ReleaseNote>) {
-        if self.catalog.apply(&note).is_err() {
+        let Ok(touched) = self.catalog.apply(&note) else {
             self.counters.error(ErrorKind::NoteInvalid);
             return;
-        }
+        };
         self.agreement.learn(note.revision, now);
         self.retire_by_age(now, &note);
         self.notes.push(note);
-        self.catalog_changed(now);
+        self.catalog_changed(now, &touched);
     }
 
     /// A newcomer reads old notes: generations that ended long ago are not
@@ -54,6 +54,7 @@
         let unsettled: Vec<ServiceKey> = self.catalog.unsettled().collect();
         for key in unsettled {
             self.catalog.retire_generations(key, |_| true);
+            self.refresh_ambiguous_slots(key);
         }
     }
 
@@ -141,7 +142,7 @@
                 let mut first = true;
                 self.catalog
                     .retire_generations(key, |_| std::mem::take(&mut first));
-                self.catalog_changed(now);
+                self.catalog_changed(now, &[key]);
             }
         }
     }
@@ -161,9 +162,11 @@
         })
     }
 
-    fn catalog_changed(&mut self, now: Instant) {
+    fn catalog_changed(&mut self, now: Instant, touched: &[ServiceKey]) {
         self.grow_targets(now);
-        self.refresh_ambiguous_slots();
+        for &key in touched {
+            self.refresh_ambiguous_slots(key);
+        }
         self.acquire(now, Vec::new());
         self.refresh_probing(now);
     }
--- a/crates/cicadaweir-core/src/node/placing.rs
+++ b/crates/cicadaweir-core/src/node/placing.rs
@@ -150,7 +150,7 @@
         let generation = service.in_force(self.agreement.agreed());
         let rank = |t: TargetKey| hash::mix(arrival.hash, u64::from(t.0));
         let mut best: [Option<TargetKey>; 2] = [None, None];
-        for &(target, _) in &generation.targets {
+        for &(target, _) in generation.targets.iter() {
             if target == primary || self.catalog.target(target).mark == Mark::Down {
                 continue;
             }
--- a/crates/cicadaweir-core/src/node/recovery.rs
+++ b/crates/cicadaweir-core/src/node/recovery.rs
@@ -23,7 +23,7 @@
     prelude::*,
 };
 
-use super::Node;
+use super::{Node, ambiguous::AmbiguousSlots};
 
 /// The most exceptions in one message.
 const MOST_EXCEPTIONS: usize = 80;
@@ -86,7 +86,7 @@
     taken: IndexMap<u16, (MemberId, Instant)>,
     transfers: Vec<Transfer>,
     served: IndexSet<MemberId>,
-    ambiguous_slots: IndexSet<u16>,
+    ambiguous: AmbiguousSlots,
     budget: f64,
     budget_at: Instant,
 }
@@ -239,7 +239,7 @@
     pub(super) fn acquire(&mut self, now: Instant, acquired: Vec<Acquired>) {
         let me = self.view.me();
         for Acquired { slot, before } in acquired {
-            if !self.recovery.ambiguous_slots.contains(&slot) {
+            if !self.recovery.ambiguous.contains(slot) {
                 continue;
             }
             let sources = self.sources(before);
@@ -251,15 +251,14 @@
                 self.recovery.incomplete.insert(slot, sources);
             }
         }
-        let ambiguous = std::mem::take(&mut self.recovery.ambiguous_slots);
-        for &slot in &ambiguous {
+        let ambiguous: Vec<u16> = self.recovery.ambiguous.iter().collect();
+        for slot in ambiguous {
             let owner = self.slots.owner(slot);
             let comes = self.recovery.next.owner(slot) == Some(me) && owner != Some(me);
             if let (true, Some(owner)) = (comes, owner) {
                 self.prefetch(owner, slot);
             }
         }
-        self.recovery.ambiguous_slots = ambiguous;
     }
 
     fn prefetch(&mut self, owner: MemberId, slot: u16) {
@@ -440,28 +439,24 @@
     pub(super) fn successors_are_served(&self) -> bool {
         let me = self.view.me();
         self.recovery
-            .ambiguous_slots
+            .ambiguous
             .iter()
-            .filter(|&&slot| self.slots.owner(slot) == Some(me))
-            .filter_map(|&slot| self.recovery.next.owner(slot))
+            .filter(|&slot| self.slots.owner(slot) == Some(me))
+            .filter_map(|slot| self.recovery.next.owner(slot))
             .all(|id| self.recovery.served.contains(&id))
     }
 
-    /// Recomputes which slots hold ambiguous buckets.
-    pub(super) fn refresh_ambiguous_slots(&mut self) {
-        let mut slots = IndexSet::new();
-        for (_, service) in self.catalog.services() {
-            if !service.has_ambiguity() {
-                continue;
-            }
-            for bucket in 0..placement::BUCKETS as u16 {
-                if service.is_ambiguous(bucket) {
-                    slots.insert(slot_of(service.seed, bucket));
-                }
-            }
+    /// Recomputes which slots hold ambiguous buckets of a service.
+    pub(super) fn refresh_ambiguous_slots(&mut self, key: ServiceKey) {
+        let service = self.catalog.service(key);
+        let mut slots = Vec::new();
+        if service.has_ambiguity() {
+            let buckets = 0..placement::BUCKETS as u16;
+            let ambiguous = buckets.filter(|&b| service.is_ambiguous(b));
+            slots.extend(ambiguous.map(|b| slot_of(service.seed, b)));
         }
-        self.recovery.ambiguous_slots = slots;
-        if self.recovery.ambiguous_slots.is_empty() {
+        self.recovery.ambiguous.replace(key, slots);
+        if self.recovery.ambiguous.is_empty() {
             self.recovery.handed.clear();
         }
     }
--- a/crates/cicadaweir-core/src/node/silence.rs
+++ b/crates/cicadaweir-core/src/node/silence.rs
@@ -20,7 +20,7 @@
 use super::Node;
 
 /// Positions of the flow table that one tick examines.
-const WALK: usize = 4_096;
+const WALK: usize = 1_024;
 
 /// How long the others may take to answer.
 const PATIENCE: Duration = Duration::from_millis(500);
--- a/crates/cicadaweir-core/src/placement/generation.rs
+++ b/crates/cicadaweir-core/src/placement/generation.rs
@@ -1,5 +1,7 @@
 //! One generation of one service.
 
+use std::sync::Arc;
+
 use crate::{
     catalog::{Revision, TargetKey},
     time::Instant,
@@ -13,9 +15,9 @@
     /// When this entry VM put a later generation into force, if it has.
     pub superseded: Option<Instant>,
     /// The targets of the generation with their weights, in name order.
-    pub targets: Vec<(TargetKey, u16)>,
+    pub targets: Arc<[(TargetKey, u16)]>,
     /// The target of each bucket.
-    pub table: Vec<TargetKey>,
+    pub table: Arc<[TargetKey]>,
 }
 
 impl Generation {
--- a/crates/cicadaweir-lab/src/capacity.rs
+++ b/crates/cicadaweir-lab/src/capacity.rs
@@ -278,6 +278,8 @@
             });
         }
     });
+    // Kept, so that the next size's memory is counted afresh.
+    std::mem::forget(bench);
     Cost {
         tick_us,
         probe_us,
