feat: spread revisions along the tree, and members by pages after a reunion

Cause: at 300 members a note waited for the 2 s bound, because gossip alone carried it and news of 300 joins filled every message; a crash was not seen by all within 8 s. Change: a member tells its tree neighbours at once when its known or agreed revision changes; records are sent 2 log n times, up to 20 on a message when many wait; all members are asked for by pages after a reunion and while the platform lists some that nobody has mentioned.

--- a/crates/cicadaweir-core/src/agreement.rs
+++ b/crates/cicadaweir-core/src/agreement.rs
@@ -3,8 +3,10 @@
 //! Every member must know a revision before any owner may place a flow by
 //! it. Members form a tree over the ascending list of their identities; each
 //! tells its parent the lowest revision that its subtree knows, and the root's
-//! own minimum, the agreed revision, spreads with the gossip. A member thus
-//! sends one message up for each change, whatever the size of the fleet.
+//! own minimum is the agreed revision. News of both travel along the same tree
+//! at once, and with the gossip where the tree is broken. A member thus sends
+//! one message up and a few down for each change, whatever the size of the
+//! fleet.
 //!
 //! A member that says nothing for [`Options::bound`] no longer holds up the
 //! others: it counts as fenced. It may be cut off; what it then breaks is
@@ -94,6 +96,21 @@
         self.hear_agreed(agreed);
     }
 
+    /// Returns the tree neighbours of a member: its parent and its children.
+    pub fn neighbours<'a>(
+        &self,
+        me: MemberId,
+        members: &'a [MemberId],
+    ) -> impl Iterator<Item = MemberId> + 'a {
+        let fanout = self.options.fanout;
+        let at = members.binary_search(&me).ok();
+        let parent = at.filter(|&at| at > 0).map(|at| (at - 1) / fanout);
+        let first = at.map_or(0, |at| at * fanout + 1);
+        let last = at.map_or(0, |_| first + fanout);
+        let children = first.min(members.len())..last.min(members.len());
+        parent.into_iter().chain(children).map(|at| members[at])
+    }
+
     /// Records a child's report.
     pub fn hear_child(&mut self, from: MemberId, known: Revision) {
         let entry = self.children.entry(from).or_default();
--- a/crates/cicadaweir-core/src/membership/dissemination.rs
+++ b/crates/cicadaweir-core/src/membership/dissemination.rs
@@ -6,7 +6,13 @@
 
 /// How many times a record is sent, as a multiple of the logarithm of the
 /// number of members.
-const TRANSMISSIONS_PER_LOG: u32 = 3;
+const TRANSMISSIONS_PER_LOG: u32 = 2;
+
+/// Records on one message in quiet times.
+const FEW: usize = 6;
+
+/// Records on one message when many wait; they fit a datagram of 1,400 bytes.
+const MANY: usize = 20;
 
 /// Records that are still to be passed on, with the transmissions left.
 #[derive(Debug, Clone, Default)]
@@ -22,8 +28,14 @@
             .insert(update.id, (update, TRANSMISSIONS_PER_LOG * log));
     }
 
-    /// Takes the records for one message, least-sent first.
-    pub fn take(&mut self, most: usize) -> Vec<MemberUpdate> {
+    /// Takes the records for one message, least-sent first; more of them when
+    /// many wait, as after the loss of a zone.
+    pub fn take(&mut self) -> Vec<MemberUpdate> {
+        let most = if self.queue.len() > 2 * FEW {
+            MANY
+        } else {
+            FEW
+        };
         self.queue
             .sort_unstable_by(|_, a, _, b| b.1.cmp(&a.1).then(a.0.id.cmp(&b.0.id)));
         let taken: Vec<MemberUpdate> = self.queue.values().take(most).map(|v| v.0).collect();
--- a/crates/cicadaweir-core/src/message.rs
+++ b/crates/cicadaweir-core/src/message.rs
@@ -89,6 +89,13 @@
         /// The lowest known revision.
         revision: Revision,
     },
+    /// Says down and up the tree which revisions the sender stands at.
+    Revisions {
+        /// The newest revision that it knows.
+        known: Revision,
+        /// The newest revision in force at it.
+        agreed: Revision,
+    },
     /// Asks for the release notes after a revision.
     NotesWanted {
         /// The newest revision that the sender has.
@@ -189,7 +196,7 @@
                 MessageKind::Detection
             }
             Self::MembersWanted { .. } | Self::Members { .. } => MessageKind::Members,
-            Self::Known { .. } => MessageKind::Agreement,
+            Self::Known { .. } | Self::Revisions { .. } => MessageKind::Agreement,
             Self::NotesWanted { .. } | Self::Notes { .. } => MessageKind::Notes,
             Self::ExceptionsWanted { .. } | Self::Exceptions { .. } => MessageKind::HandOver,
             Self::Lookup { .. } | Self::LookupAnswer { .. } | Self::Broken { .. } => {
--- a/crates/cicadaweir-core/src/node/members.rs
+++ b/crates/cicadaweir-core/src/node/members.rs
@@ -3,19 +3,22 @@
 use indexmap::IndexMap;
 
 use crate::{
-    membership::{Change, Health, ListEntry, MemberUpdate, Phase, Probe},
+    membership::{Change, Health, ListEntry, Member, MemberUpdate, Phase, Probe},
     message::{Gossip, Message},
     prelude::*,
 };
 
 use super::Node;
 
-/// The most records of each sort that ride on one message.
+/// The most marks, and the most loads, that ride on one message.
 const MOST_NEWS: usize = 6;
 
 /// The most records in one page of members.
 const MEMBERS_PAGE: usize = 24;
 
+/// The least time between two requests for all members.
+const MEMBERS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The time between two looks at every member.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -39,8 +42,12 @@
     pub order: Vec<MemberId>,
     /// The digest of the view.
     pub digest: u64,
-    /// Whether the full list of members was asked for.
-    synced: bool,
+    /// Whether the full list of members is to be asked for, and when it was
+    /// last.
+    wants_members: bool,
+    members_asked: Option<Instant>,
+    /// The member that answered last.
+    last_answer: Option<MemberId>,
     last_heard: Option<Instant>,
     next_review: Instant,
     leave_deadline: Option<Instant>,
@@ -93,6 +100,9 @@
                 more,
             } => self.members_page(now, from, start, &members, more, out),
             Message::Known { revision } => self.agreement.hear_child(from, revision),
+            Message::Revisions { known, agreed } => {
+                self.hear_revisions(now, from, known, agreed, out);
+            }
             Message::NotesWanted { have } => self.send_notes(from, have, out),
             Message::Notes { notes, agreed } => self.notes_from_peer(now, notes, agreed, out),
             Message::ExceptionsWanted { slots, take_over } => {
@@ -125,7 +135,7 @@
                 members.push(member.record);
             }
         }
-        members.extend(self.dissemination.take(MOST_NEWS));
+        members.extend(self.dissemination.take());
         Gossip {
             known: self.agreement.known(),
             agreed: self.agreement.agreed(),
@@ -138,6 +148,7 @@
 
     fn hear(&mut self, now: Instant, from: MemberId, gossip: Gossip, out: &mut Vec<Action>) {
         let mut changed = false;
+        self.note_reunion(from);
         for update in &gossip.members {
             changed |= self.merge(now, update);
         }
@@ -149,15 +160,39 @@
         }
         self.hear_marks(now, &gossip.marks);
         self.hear_loads(now, &gossip.loads);
-        if gossip.known > self.agreement.known() {
-            self.want_notes(now, from, out);
+        self.hear_revisions(now, from, gossip.known, gossip.agreed, out);
+        self.relations.last_answer = Some(from);
+        if self.relations.members_asked.is_none() {
+            self.ask_members(now, out);
         }
-        if self.agreement.hear_agreed(gossip.agreed) {
-            self.came_into_force(now, out);
+    }
+
+    /// A member that was taken for dead speaks: others may have come back
+    /// with it, as after a cut between regions.
+    fn note_reunion(&mut self, from: MemberId) {
+        let was_dead = self.view.get(from).is_some_and(|m| !m.reachable());
+        self.relations.wants_members |= was_dead;
+    }
+
+    fn ask_members(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let Some(from) = self.relations.last_answer else {
+            return;
+        };
+        self.relations.members_asked = Some(now);
+        self.relations.wants_members = false;
+        self.send(from, Message::MembersWanted { start: 0 }, out);
+    }
+
+    /// Asks for all members again after a reunion, or while the platform
+    /// lists members that nobody has mentioned yet.
+    fn refresh_list(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let asked = self.relations.members_asked;
+        if asked.is_some_and(|at| now.since(at) < MEMBERS_INTERVAL) {
+            return;
         }
-        if !self.relations.synced {
-            self.relations.synced = true;
-            self.send(from, Message::MembersWanted { start: 0 }, out);
+        let mentioned = |m: &Member| m.record.incarnation > 0 || !m.reachable();
+        if self.relations.wants_members || !self.view.iter().all(mentioned) {
+            self.ask_members(now, out);
         }
     }
 
@@ -219,7 +254,7 @@
     }
 
     fn send_members(&mut self, to: MemberId, start: u32, out: &mut Vec<Action>) {
-        let known = |m: &&crate::membership::Member| m.record.incarnation > 0;
+        let known = |m: &&Member| m.record.incarnation > 0;
         let mut rest = self.view.iter().filter(known).skip(start as usize);
         let members: Vec<MemberUpdate> =
             rest.by_ref().take(MEMBERS_PAGE).map(|m| m.record).collect();
@@ -285,6 +320,7 @@
         self.relations
             .errands
             .retain(|_, e| now.since(e.since) < period);
+        self.refresh_list(now, out);
         self.view.forget(now, self.options.membership.tombstone);
         self.end_isolation(now);
         self.advance_phase(now, out);
--- a/crates/cicadaweir-core/src/node/notes.rs
+++ b/crates/cicadaweir-core/src/node/notes.rs
@@ -25,6 +25,7 @@
         if note.revision == self.catalog.revision().next() {
             self.apply_note(now, note);
             self.tick_agreement(now, out);
+            self.tell_neighbours(out);
         }
     }
 
@@ -63,6 +64,36 @@
         self.start_ms + now.since(self.created).as_millis()
     }
 
+    pub(super) fn hear_revisions(
+        &mut self,
+        now: Instant,
+        from: MemberId,
+        known: Revision,
+        agreed: Revision,
+        out: &mut Vec<Action>,
+    ) {
+        if known > self.agreement.known() {
+            self.want_notes(now, from, out);
+        }
+        if self.agreement.hear_agreed(agreed) {
+            self.came_into_force(now, out);
+            self.tell_neighbours(out);
+        }
+    }
+
+    /// Tells the neighbours in the tree which revisions this member stands
+    /// at, as soon as they change.
+    fn tell_neighbours(&mut self, out: &mut Vec<Action>) {
+        let me = self.view.me();
+        let order = std::mem::take(&mut self.relations.order);
+        let neighbours: Vec<MemberId> = self.agreement.neighbours(me, &order).collect();
+        self.relations.order = order;
+        let (known, agreed) = (self.agreement.known(), self.agreement.agreed());
+        for to in neighbours {
+            self.send(to, Message::Revisions { known, agreed }, out);
+        }
+    }
+
     pub(super) fn want_notes(&mut self, now: Instant, from: MemberId, out: &mut Vec<Action>) {
         let patient = |at: Instant| now.since(at) < NOTES_PATIENCE;
         if self.notes_asked.is_some_and(patient) {
@@ -92,14 +123,19 @@
         out: &mut Vec<Action>,
     ) {
         self.notes_asked = None;
+        let before = self.agreement.known();
         for note in notes {
             if note.revision == self.catalog.revision().next() {
                 self.apply_note(now, note);
             }
         }
-        if self.agreement.hear_agreed(agreed) {
+        let in_force = self.agreement.hear_agreed(agreed);
+        if in_force {
             self.came_into_force(now, out);
         }
+        if in_force || self.agreement.known() > before {
+            self.tell_neighbours(out);
+        }
         self.tick_agreement(now, out);
     }
 
@@ -114,6 +150,7 @@
         }
         if changed {
             self.came_into_force(now, out);
+            self.tell_neighbours(out);
         }
     }
 
--- a/crates/cicadaweir-core/src/time.rs
+++ b/crates/cicadaweir-core/src/time.rs
@@ -70,6 +70,13 @@
     }
 }
 
+impl Add for Duration {
+    type Output = Self;
+    fn add(self, rhs: Self) -> Self {
+        Self(self.0.saturating_add(rhs.0))
+    }
+}
+
 impl Add<Duration> for Instant {
     type Output = Self;
     fn add(self, rhs: Duration) -> Self {
--- a/crates/cicadaweir-lab/src/lib.rs
+++ b/crates/cicadaweir-lab/src/lib.rs
@@ -10,6 +10,7 @@
 #![forbid(unsafe_code)]
 
 pub mod capacity;
+pub mod fleet;
 pub mod measure;
 pub mod pacing;
 pub mod scenario;
--- a/crates/cicadaweir-lab/src/main.rs
+++ b/crates/cicadaweir-lab/src/main.rs
@@ -12,6 +12,7 @@
 use cicadaweir_core::route::Policy;
 use cicadaweir_lab::{
     capacity::{self, Cost, Size},
+    fleet,
     measure::Measures,
     pacing::{self, Pacing},
     scenario::{Deployment, Scenario, all},
@@ -33,6 +34,9 @@
         /// Compare with the baselines
         baselines: bool,
     },
+    /// Spreads release notes and a crash through fleets of several sizes
+    #[bpaf(command)]
+    Fleet,
     /// Measures one daemon's control work at several sizes
     #[bpaf(command)]
     Capacity,
@@ -64,6 +68,7 @@
             seeds,
             baselines,
         } => scenarios(&only, seeds, baselines),
+        Command::Fleet => fleet_sizes(),
         Command::Capacity => capacity(),
         Command::Pacing => pacing(),
         Command::Trace {
@@ -167,6 +172,33 @@
     slope("memory MB", |c| c.memory / 1e6);
 }
 
+fn fleet_sizes() -> ExitCode {
+    println!(
+        "{:>8} {:>14} {:>14} {:>14} {:>12} {:>12} {:>12}",
+        "members",
+        "note known ms",
+        "in force ms",
+        "crash seen ms",
+        "quiet B/s",
+        "note B",
+        "store calls"
+    );
+    for members in fleet::SIZES {
+        let f = fleet::run(members, 1);
+        println!(
+            "{:>8} {:>14} {:>14} {:>14} {:>12.0} {:>12.0} {:>12}",
+            members,
+            f.known.as_millis(),
+            f.in_force.as_millis(),
+            f.crash_seen.as_millis(),
+            f.quiet_rate,
+            f.note_bytes,
+            f.store_calls
+        );
+    }
+    ExitCode::SUCCESS
+}
+
 fn pacing() -> ExitCode {
     let alone = pacing::run(Pacing::Fair, 0, 1)
         .short
--- a/crates/cicadaweir-lab/src/world/run.rs
+++ b/crates/cicadaweir-lab/src/world/run.rs
@@ -185,7 +185,7 @@
             phase: Phase::Joining,
             health: Health::Alive,
             zone: vm.zone,
-            address: std::net::SocketAddr::from(([10, 1, 0, at as u8 + 1], 7070)).into(),
+            address: peer_address(at),
         };
         vm.node = Some(Node::new(self.options.node, HASH_KEY, me, self.now));
         let life = vm.life;
@@ -203,7 +203,7 @@
             .map(|at| ListEntry {
                 id: MemberId(at as u32),
                 zone: self.vms[at].zone,
-                address: std::net::SocketAddr::from(([10, 1, 0, at as u8 + 1], 7070)).into(),
+                address: peer_address(at),
             })
             .collect()
     }
@@ -244,6 +244,10 @@
             .skip(known)
             .map(|p| Arc::clone(&p.note))
             .collect();
+        if missing.is_empty() {
+            return;
+        }
+        // The watch that returns, and a read for each note.
         self.measures.store_calls += 1 + missing.len() as u64;
         for (number, note) in missing.into_iter().enumerate() {
             let delay = Duration::from_millis(3 + number as u64);
@@ -302,6 +306,11 @@
         self.vms[at].node.as_ref()
     }
 
+    /// Iterates over the nodes that run.
+    pub fn nodes(&self) -> impl Iterator<Item = &Node> {
+        self.vms.iter().filter_map(|vm| vm.node.as_ref())
+    }
+
     /// Returns the targets.
     pub fn targets(&self) -> &[Target] {
         &self.targets
@@ -312,3 +321,9 @@
         &self.callers
     }
 }
+
+/// Returns the peer address of a node.
+fn peer_address(at: usize) -> Endpoint {
+    let ip = [10, 1, (at >> 8) as u8, at as u8];
+    std::net::SocketAddr::from((ip, 7070)).into()
+}
--- a/crates/cicadaweir-proto/src/codec/decode.rs
+++ b/crates/cicadaweir-proto/src/codec/decode.rs
@@ -63,6 +63,10 @@
         Which::Known(r) => Message::Known {
             revision: Revision(r.get_revision()),
         },
+        Which::Revisions(r) => Message::Revisions {
+            known: Revision(r.get_newest()),
+            agreed: Revision(r.get_in_force()),
+        },
         Which::NotesWanted(r) => Message::NotesWanted {
             have: Revision(r.get_have()),
         },
--- a/crates/cicadaweir-proto/src/codec/encode.rs
+++ b/crates/cicadaweir-proto/src/codec/encode.rs
@@ -57,6 +57,11 @@
             fill_members(b.init_records(members.len() as u32), members);
         }
         Message::Known { revision } => envelope.init_known().set_revision(revision.0),
+        Message::Revisions { known, agreed } => {
+            let mut b = envelope.init_revisions();
+            b.set_newest(known.0);
+            b.set_in_force(agreed.0);
+        }
         Message::NotesWanted { have } => envelope.init_notes_wanted().set_have(have.0),
         Message::Notes { notes, agreed } => {
             let mut b = envelope.init_notes();
