fix: repeat openings' answers in the lab as kernels do

Cause: one refusal in 28,000 followed a delivered opening whose only answer was lost; a kernel repeats that answer after 1, 2 and 4 s, the lab's targets did not. Ruled out: refusing only after 9 s (surge-3x then leaves 101,470 openings unanswered instead of refusing them).

--- a/crates/cicadaweir-lab/src/world/act.rs
+++ b/crates/cicadaweir-lab/src/world/act.rs
@@ -10,6 +10,12 @@
     Behaviour, CallerKind, CallerState, Fault, Happening, World, event::Packet, run::SURGE_DEADLINE,
 };
 
+/// The pause before an opening's answer is repeated, doubled each time.
+const OPENING_ANSWER_PAUSE: Duration = Duration::from_secs(1);
+
+/// The most answers to one opening.
+const OPENING_ANSWERS: u32 = 4;
+
 /// How long a node that has left still forwards.
 const QUIET_STOP: Duration = Duration::from_secs(2);
 
@@ -58,6 +64,11 @@
                 let message = *message;
                 self.step(node, Event::Message { from, message });
             }
+            Happening::OpenAgain {
+                target,
+                packet,
+                tries,
+            } => self.open_again(target, packet, tries),
             Happening::Completed { target, packet } => self.completed(target, packet),
             Happening::Probed {
                 node,
@@ -417,6 +428,29 @@
         }
         target.open.insert(packet.caller);
         self.answer(at, packet, PacketKind::OpeningAnswer);
+        self.after_opening(at, packet, 1);
+    }
+
+    fn after_opening(&mut self, target: usize, packet: Packet, tries: u32) {
+        let pause = OPENING_ANSWER_PAUSE.times(1 << (tries - 1));
+        self.after(
+            pause,
+            Happening::OpenAgain {
+                target,
+                packet,
+                tries,
+            },
+        );
+    }
+
+    /// Repeats the answer to an opening as kernels do, after 1, 2 and 4 s.
+    fn open_again(&mut self, at: usize, packet: Packet, tries: u32) {
+        let caller = &self.callers[packet.caller as usize];
+        let waits = caller.state == CallerState::Opening;
+        if waits && self.targets[at].open.contains(&packet.caller) && tries < OPENING_ANSWERS {
+            self.answer(at, packet, PacketKind::OpeningAnswer);
+            self.after_opening(at, packet, tries + 1);
+        }
     }
 
     /// Queues a request; one that the target has seen already is not run
--- a/crates/cicadaweir-lab/src/world/event.rs
+++ b/crates/cicadaweir-lab/src/world/event.rs
@@ -73,6 +73,15 @@
         /// The message.
         message: Box<Message>,
     },
+    /// A target repeats an opening's answer that nobody acknowledged.
+    OpenAgain {
+        /// The target's index.
+        target: usize,
+        /// The opening.
+        packet: Packet,
+        /// Answers sent so far.
+        tries: u32,
+    },
     /// A target completes a request.
     Completed {
         /// The target's index.
