fix: send marks that make buckets ambiguous along the tree at once

Change: a mark that makes a target's buckets ambiguous for the first time goes to the tree neighbours at the next tick. Ruled out: a longer settling time alone (the queue of news has no bound in time). Conclusion: what others must know before it is used goes first.

--- a/crates/cicadaweir-core/src/message.rs
+++ b/crates/cicadaweir-core/src/message.rs
@@ -96,6 +96,11 @@
         /// The newest revision in force at it.
         agreed: Revision,
     },
+    /// Brings marks that make buckets ambiguous, along the tree.
+    Marks {
+        /// The marks.
+        marks: Vec<MarkUpdate>,
+    },
     /// Asks for the release notes after a revision.
     NotesWanted {
         /// The newest revision that the sender has.
@@ -156,6 +161,8 @@
     Members,
     /// Reports up the tree.
     Agreement,
+    /// Marks along the tree.
+    Marks,
     /// Release notes and requests for them.
     Notes,
     /// Exceptions and requests for them.
@@ -166,10 +173,11 @@
 
 impl MessageKind {
     /// Every kind.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Detection,
         Self::Members,
         Self::Agreement,
+        Self::Marks,
         Self::Notes,
         Self::HandOver,
         Self::Lookup,
@@ -181,6 +189,7 @@
             Self::Detection => "detection",
             Self::Members => "members",
             Self::Agreement => "agreement",
+            Self::Marks => "marks",
             Self::Notes => "notes",
             Self::HandOver => "hand_over",
             Self::Lookup => "lookup",
@@ -197,6 +206,7 @@
             }
             Self::MembersWanted { .. } | Self::Members { .. } => MessageKind::Members,
             Self::Known { .. } | Self::Revisions { .. } => MessageKind::Agreement,
+            Self::Marks { .. } => MessageKind::Marks,
             Self::NotesWanted { .. } | Self::Notes { .. } => MessageKind::Notes,
             Self::ExceptionsWanted { .. } | Self::Exceptions { .. } => MessageKind::HandOver,
             Self::Lookup { .. } | Self::LookupAnswer { .. } | Self::Broken { .. } => {
--- a/crates/cicadaweir-core/src/node.rs
+++ b/crates/cicadaweir-core/src/node.rs
@@ -70,6 +70,7 @@
     recovery: Recovery,
     targets: Vec<TargetState>,
     mark_news: IndexMap<(TargetKey, bool), (MarkUpdate, u32)>,
+    urgent_marks: Vec<MarkUpdate>,
     load_news: IndexMap<TargetKey, u32>,
     probers: Probers,
     watching: bool,
@@ -107,6 +108,7 @@
             recovery: Recovery::default(),
             targets: Vec::new(),
             mark_news: IndexMap::new(),
+            urgent_marks: Vec::new(),
             load_news: IndexMap::new(),
             probers: Probers::default(),
             watching: false,
@@ -147,6 +149,7 @@
         self.tick_recovery(now, out);
         self.tick_lookups(now, out);
         self.tick_health(now, out);
+        self.tick_marks(out);
         self.tick_flows(now, out);
     }
 
--- a/crates/cicadaweir-core/src/node/marks.rs
+++ b/crates/cicadaweir-core/src/node/marks.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     load::{Mark, MarkUpdate, ProbeResult},
+    message::Message,
     prelude::*,
 };
 
@@ -71,6 +72,7 @@
             version: update.version,
             mark: update.mark,
         };
+        let known = state.home.mark.deviates() || state.remote.is_some();
         let newer = if update.remote {
             state.remote.is_none_or(|old| finding > old)
         } else {
@@ -87,9 +89,26 @@
         let sends = self.news_transmissions();
         let key = (update.target, update.remote);
         self.mark_news.insert(key, (update, sends));
+        if !known && update.mark.deviates() {
+            self.urgent_marks.push(update);
+        }
         self.use_mark(now, update.target);
     }
 
+    /// Sends marks that make buckets ambiguous along the tree at once: until a
+    /// member knows of one, it sends flows that were placed elsewhere to the
+    /// wrong target.
+    pub(super) fn tick_marks(&mut self, out: &mut Vec<Action>) {
+        if self.urgent_marks.is_empty() {
+            return;
+        }
+        let marks = std::mem::take(&mut self.urgent_marks);
+        for to in self.tree_neighbours() {
+            let marks = marks.clone();
+            self.send(to, Message::Marks { marks }, out);
+        }
+    }
+
     pub(super) fn hear_marks(&mut self, now: Instant, marks: &[MarkUpdate]) {
         for update in marks {
             self.take_mark(now, *update);
--- a/crates/cicadaweir-core/src/node/members.rs
+++ b/crates/cicadaweir-core/src/node/members.rs
@@ -103,6 +103,7 @@
             Message::Revisions { known, agreed } => {
                 self.hear_revisions(now, from, known, agreed, out);
             }
+            Message::Marks { marks } => self.hear_marks(now, &marks),
             Message::NotesWanted { have } => self.send_notes(from, have, out),
             Message::Notes { notes, agreed } => self.notes_from_peer(now, notes, agreed, out),
             Message::ExceptionsWanted { slots, take_over } => {
--- a/crates/cicadaweir-core/src/node/notes.rs
+++ b/crates/cicadaweir-core/src/node/notes.rs
@@ -84,16 +84,18 @@
     /// Tells the neighbours in the tree which revisions this member stands
     /// at, as soon as they change.
     fn tell_neighbours(&mut self, out: &mut Vec<Action>) {
-        let me = self.view.me();
-        let order = std::mem::take(&mut self.relations.order);
-        let neighbours: Vec<MemberId> = self.agreement.neighbours(me, &order).collect();
-        self.relations.order = order;
         let (known, agreed) = (self.agreement.known(), self.agreement.agreed());
-        for to in neighbours {
+        for to in self.tree_neighbours() {
             self.send(to, Message::Revisions { known, agreed }, out);
         }
     }
 
+    /// Returns this member's parent and children in the tree.
+    pub(super) fn tree_neighbours(&self) -> Vec<MemberId> {
+        let order = &self.relations.order;
+        self.agreement.neighbours(self.view.me(), order).collect()
+    }
+
     pub(super) fn want_notes(&mut self, now: Instant, from: MemberId, out: &mut Vec<Action>) {
         let patient = |at: Instant| now.since(at) < NOTES_PATIENCE;
         if self.notes_asked.is_some_and(patient) {
--- a/crates/cicadaweir-proto/schema/peer.capnp
+++ b/crates/cicadaweir-proto/schema/peer.capnp
@@ -64,6 +64,7 @@
     lookupAnswer :group { hash @21 :UInt64; found @22 :Bool; target @23 :UInt32; silenceMs @24 :UInt32; }
     broken :group { broken @25 :UInt64; silent @26 :UInt32; }
     revisions :group { newest @29 :UInt64; inForce @30 :UInt64; }
+    marks :group { urgent @31 :List(Mark); }
   }
 }
 
--- a/crates/cicadaweir-proto/src/codec/decode.rs
+++ b/crates/cicadaweir-proto/src/codec/decode.rs
@@ -67,6 +67,9 @@
             known: Revision(r.get_newest()),
             agreed: Revision(r.get_in_force()),
         },
+        Which::Marks(r) => Message::Marks {
+            marks: marks(r.get_urgent()?)?,
+        },
         Which::NotesWanted(r) => Message::NotesWanted {
             have: Revision(r.get_have()),
         },
@@ -123,7 +126,7 @@
         agreed: Revision(r.get_agreed()),
         view: r.get_view(),
         members: members(r.get_members()?)?,
-        marks: r.get_marks()?.iter().map(mark).collect::<Result<_, _>>()?,
+        marks: marks(r.get_marks()?)?,
         loads: r
             .get_loads()?
             .iter()
@@ -138,6 +141,12 @@
     })
 }
 
+fn marks(
+    list: capnp::struct_list::Reader<'_, peer_capnp::mark::Owned>,
+) -> Result<Vec<MarkUpdate>, CodecError> {
+    list.iter().map(mark).collect()
+}
+
 fn mark(r: peer_capnp::mark::Reader<'_>) -> Result<MarkUpdate, CodecError> {
     let number = r.get_mark();
     let mark =
--- a/crates/cicadaweir-proto/src/codec/encode.rs
+++ b/crates/cicadaweir-proto/src/codec/encode.rs
@@ -3,6 +3,7 @@
 use capnp::{message::Builder, serialize_packed};
 use cicadaweir_core::{
     flow::Endpoint,
+    load::MarkUpdate,
     membership::{MemberId, MemberUpdate},
     message::{FlowMemory, Gossip, Message},
 };
@@ -62,6 +63,10 @@
             b.set_newest(known.0);
             b.set_in_force(agreed.0);
         }
+        Message::Marks { marks } => {
+            let list = envelope.init_marks().init_urgent(marks.len() as u32);
+            fill_marks(list, marks);
+        }
         Message::NotesWanted { have } => envelope.init_notes_wanted().set_have(have.0),
         Message::Notes { notes, agreed } => {
             let mut b = envelope.init_notes();
@@ -122,14 +127,8 @@
     b.set_view(gossip.view);
     let members = b.reborrow().init_members(gossip.members.len() as u32);
     fill_members(members, &gossip.members);
-    let mut marks = b.reborrow().init_marks(gossip.marks.len() as u32);
-    for (at, mark) in (0..).zip(&gossip.marks) {
-        let mut item = marks.reborrow().get(at);
-        item.set_target(mark.target.0);
-        item.set_version(mark.version);
-        item.set_mark(mark.mark as u8);
-        item.set_remote(mark.remote);
-    }
+    let marks = b.reborrow().init_marks(gossip.marks.len() as u32);
+    fill_marks(marks, &gossip.marks);
     let mut loads = b.init_loads(gossip.loads.len() as u32);
     for (at, load) in (0..).zip(&gossip.loads) {
         let mut item = loads.reborrow().get(at);
@@ -141,6 +140,19 @@
     }
 }
 
+fn fill_marks(
+    mut list: capnp::struct_list::Builder<'_, peer_capnp::mark::Owned>,
+    marks: &[MarkUpdate],
+) {
+    for (at, mark) in (0..).zip(marks) {
+        let mut item = list.reborrow().get(at);
+        item.set_target(mark.target.0);
+        item.set_version(mark.version);
+        item.set_mark(mark.mark as u8);
+        item.set_remote(mark.remote);
+    }
+}
+
 fn fill_members(
     mut list: capnp::struct_list::Builder<'_, peer_capnp::member::Owned>,
     members: &[MemberUpdate],
--- a/crates/cicadaweir-proto/src/peer_capnp.rs
+++ b/crates/cicadaweir-proto/src/peer_capnp.rs
@@ -1799,7 +1799,7 @@
 }
 
 pub mod envelope {
-    pub use self::Which::{Probe,ProbeAnswer,ProbeFor,MembersWanted,Members,Known,NotesWanted,Notes,ExceptionsWanted,Exceptions,Lookup,LookupAnswer,Broken,Revisions};
+    pub use self::Which::{Probe,ProbeAnswer,ProbeFor,MembersWanted,Members,Known,NotesWanted,Notes,ExceptionsWanted,Exceptions,Lookup,LookupAnswer,Broken,Revisions,Marks};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -1942,6 +1942,11 @@
                         self.reader.into()
                     ))
                 }
+                14 => {
+                    ::core::result::Result::Ok(Marks(
+                        self.reader.into()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -2115,6 +2120,12 @@
             self.builder.into()
         }
         #[inline]
+        pub fn init_marks(mut self, ) -> crate::peer_capnp::envelope::marks::Builder<'a> {
+            self.builder.set_data_field::<u16>(1, 14);
+            self.builder.reborrow().get_pointer_field(0).clear();
+            self.builder.into()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(1) {
                 0 => {
@@ -2187,6 +2198,11 @@
                         self.builder.into()
                     ))
                 }
+                14 => {
+                    ::core::result::Result::Ok(Marks(
+                        self.builder.into()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -2201,133 +2217,140 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 168] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 176] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(129, 84, 227, 215, 169, 194, 241, 182),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 14, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 15, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 69, 110, 118, 101, 108),
             ::capnp::word(111, 112, 101, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(240, 187, 122, 117, 155, 243, 158, 200),
-            ::capnp::word(185, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(3, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(122, 162, 8, 72, 219, 165, 211, 133),
-            ::capnp::word(161, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(225, 184, 96, 143, 45, 127, 28, 145),
-            ::capnp::word(141, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 195, 150, 74, 78, 43, 49, 134),
-            ::capnp::word(121, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(6, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(169, 68, 195, 90, 238, 80, 102, 193),
-            ::capnp::word(101, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(7, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 210, 59, 156, 192, 171, 193, 213),
-            ::capnp::word(77, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(202, 155, 24, 179, 105, 146, 250, 218),
-            ::capnp::word(53, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(165, 176, 77, 155, 120, 198, 186, 206),
-            ::capnp::word(33, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(10, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(170, 159, 30, 180, 42, 133, 70, 209),
-            ::capnp::word(9, 1, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(11, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(247, 100, 66, 35, 220, 131, 0, 185),
-            ::capnp::word(249, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 245, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(3, 155, 41, 123, 138, 137, 57, 172),
-            ::capnp::word(229, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(13, 0, 244, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(66, 92, 163, 168, 255, 221, 59, 145),
-            ::capnp::word(205, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 243, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(131, 211, 118, 110, 106, 160, 48, 230),
-            ::capnp::word(185, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(15, 0, 242, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(198, 67, 5, 91, 11, 81, 3, 173),
-            ::capnp::word(161, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 241, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 94, 219, 216, 36, 26, 162, 136),
+            ::capnp::word(169, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2370,6 +2393,7 @@
             ::capnp::word(98, 114, 111, 107, 101, 110, 0, 0),
             ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
             ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 97, 114, 107, 115, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2389,6 +2413,7 @@
                 13 => <crate::peer_capnp::envelope::lookup_answer::Owned as ::capnp::introspect::Introspect>::introspect(),
                 14 => <crate::peer_capnp::envelope::broken::Owned as ::capnp::introspect::Introspect>::introspect(),
                 15 => <crate::peer_capnp::envelope::revisions::Owned as ::capnp::introspect::Introspect>::introspect(),
+                16 => <crate::peer_capnp::envelope::marks::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2403,11 +2428,11 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[2,3,4,5,6,7,8,9,10,11,12,13,14,15];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[14,11,10,7,12,13,6,5,9,8,2,3,4,15,1,0];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[14,11,10,7,12,13,16,6,5,9,8,2,3,4,15,1,0];
         pub(crate) const TYPE_ID: u64 = 0xb2c2_25da_d916_6f1a;
     }
-    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12,A13> {
+    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12,A13,A14> {
         Probe(A0),
         ProbeAnswer(A1),
         ProbeFor(A2),
@@ -2422,9 +2447,10 @@
         LookupAnswer(A11),
         Broken(A12),
         Revisions(A13),
+        Marks(A14),
     }
-    pub type WhichReader<'a,> = Which<crate::peer_capnp::envelope::probe::Reader<'a>,crate::peer_capnp::envelope::probe_answer::Reader<'a>,crate::peer_capnp::envelope::probe_for::Reader<'a>,crate::peer_capnp::envelope::members_wanted::Reader<'a>,crate::peer_capnp::envelope::members::Reader<'a>,crate::peer_capnp::envelope::known::Reader<'a>,crate::peer_capnp::envelope::notes_wanted::Reader<'a>,crate::peer_capnp::envelope::notes::Reader<'a>,crate::peer_capnp::envelope::exceptions_wanted::Reader<'a>,crate::peer_capnp::envelope::exceptions::Reader<'a>,crate::peer_capnp::envelope::lookup::Reader<'a>,crate::peer_capnp::envelope::lookup_answer::Reader<'a>,crate::peer_capnp::envelope::broken::Reader<'a>,crate::peer_capnp::envelope::revisions::Reader<'a>>;
-    pub type WhichBuilder<'a,> = Which<crate::peer_capnp::envelope::probe::Builder<'a>,crate::peer_capnp::envelope::probe_answer::Builder<'a>,crate::peer_capnp::envelope::probe_for::Builder<'a>,crate::peer_capnp::envelope::members_wanted::Builder<'a>,crate::peer_capnp::envelope::members::Builder<'a>,crate::peer_capnp::envelope::known::Builder<'a>,crate::peer_capnp::envelope::notes_wanted::Builder<'a>,crate::peer_capnp::envelope::notes::Builder<'a>,crate::peer_capnp::envelope::exceptions_wanted::Builder<'a>,crate::peer_capnp::envelope::exceptions::Builder<'a>,crate::peer_capnp::envelope::lookup::Builder<'a>,crate::peer_capnp::envelope::lookup_answer::Builder<'a>,crate::peer_capnp::envelope::broken::Builder<'a>,crate::peer_capnp::envelope::revisions::Builder<'a>>;
+    pub type WhichReader<'a,> = Which<crate::peer_capnp::envelope::probe::Reader<'a>,crate::peer_capnp::envelope::probe_answer::Reader<'a>,crate::peer_capnp::envelope::probe_for::Reader<'a>,crate::peer_capnp::envelope::members_wanted::Reader<'a>,crate::peer_capnp::envelope::members::Reader<'a>,crate::peer_capnp::envelope::known::Reader<'a>,crate::peer_capnp::envelope::notes_wanted::Reader<'a>,crate::peer_capnp::envelope::notes::Reader<'a>,crate::peer_capnp::envelope::exceptions_wanted::Reader<'a>,crate::peer_capnp::envelope::exceptions::Reader<'a>,crate::peer_capnp::envelope::lookup::Reader<'a>,crate::peer_capnp::envelope::lookup_answer::Reader<'a>,crate::peer_capnp::envelope::broken::Reader<'a>,crate::peer_capnp::envelope::revisions::Reader<'a>,crate::peer_capnp::envelope::marks::Reader<'a>>;
+    pub type WhichBuilder<'a,> = Which<crate::peer_capnp::envelope::probe::Builder<'a>,crate::peer_capnp::envelope::probe_answer::Builder<'a>,crate::peer_capnp::envelope::probe_for::Builder<'a>,crate::peer_capnp::envelope::members_wanted::Builder<'a>,crate::peer_capnp::envelope::members::Builder<'a>,crate::peer_capnp::envelope::known::Builder<'a>,crate::peer_capnp::envelope::notes_wanted::Builder<'a>,crate::peer_capnp::envelope::notes::Builder<'a>,crate::peer_capnp::envelope::exceptions_wanted::Builder<'a>,crate::peer_capnp::envelope::exceptions::Builder<'a>,crate::peer_capnp::envelope::lookup::Builder<'a>,crate::peer_capnp::envelope::lookup_answer::Builder<'a>,crate::peer_capnp::envelope::broken::Builder<'a>,crate::peer_capnp::envelope::revisions::Builder<'a>,crate::peer_capnp::envelope::marks::Builder<'a>>;
 
     pub mod probe {
         #[derive(Copy, Clone)]
@@ -5678,6 +5704,217 @@
             pub(crate) const TYPE_ID: u64 = 0xad03_510b_5b05_43c6;
         }
     }
+
+    pub mod marks {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_urgent(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::mark::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_urgent(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_urgent(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::mark::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_urgent(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::mark::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_urgent(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::mark::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_urgent(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(129, 94, 219, 216, 36, 26, 162, 136),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
+                ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
+                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 69, 110, 118, 101, 108),
+                ::capnp::word(111, 112, 101, 46, 109, 97, 114, 107),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 31, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(117, 114, 103, 101, 110, 116, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 230, 162, 148, 86, 185, 78, 213),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::struct_list::Owned<crate::peer_capnp::mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x88a2_1a24_d8db_5e81;
+        }
+    }
 }
 
 
