feat: a command-line tool with a demo of the main job under failure

Cause: operators had nothing to run. Change: publish, show, diff, status, targets, flows, drain, explain and demo, with JSON and one table of exit codes. The demo runs nine daemons in three zones with real packets: surge, release note, planned stop, crash, zone cut. Found by the demo and mended: a stopped daemon ended before its successors had taken over (it now stays 2.5 s), and a note whose publisher's clock stood at 1970 ended the old generations at once (only a newcomer goes by age, and by its peers' account of it).

--- a/crates/cicadaweir-core/src/message.rs
+++ b/crates/cicadaweir-core/src/message.rs
@@ -108,8 +108,8 @@
     },
     /// Brings release notes in order.
     Notes {
-        /// The notes.
-        notes: Vec<Arc<ReleaseNote>>,
+        /// The notes, each with the time since the sender learned of it.
+        notes: Vec<(Arc<ReleaseNote>, Duration)>,
         /// The revision in force at the sender.
         agreed: Revision,
     },
--- a/crates/cicadaweir-core/src/node.rs
+++ b/crates/cicadaweir-core/src/node.rs
@@ -16,8 +16,6 @@
 mod silence;
 mod status;
 
-use std::sync::Arc;
-
 use indexmap::IndexMap;
 
 pub use counters::Counters;
@@ -26,7 +24,7 @@
 
 use crate::{
     agreement::Agreement,
-    catalog::{Catalog, ReleaseNote},
+    catalog::Catalog,
     flow::FlowTable,
     hash::HashKey,
     load::MarkUpdate,
@@ -37,6 +35,7 @@
 use health::TargetState;
 use lookup::Lookups;
 use members::Relations;
+use notes::HeldNote;
 use probers::Probers;
 use recovery::Recovery;
 
@@ -63,7 +62,7 @@
     slots: SlotTable,
     agreement: Agreement,
     catalog: Catalog,
-    notes: Vec<Arc<ReleaseNote>>,
+    notes: Vec<HeldNote>,
     notes_asked: Option<Instant>,
     flows: FlowTable,
     lookups: Lookups,
--- a/crates/cicadaweir-core/src/node/members.rs
+++ b/crates/cicadaweir-core/src/node/members.rs
@@ -51,6 +51,7 @@
     last_heard: Option<Instant>,
     next_review: Instant,
     leave_deadline: Option<Instant>,
+    left_at: Option<Instant>,
 }
 
 impl Node {
@@ -104,7 +105,7 @@
                 self.hear_revisions(now, from, known, agreed, out);
             }
             Message::Marks { marks } => self.hear_marks(now, &marks),
-            Message::NotesWanted { have } => self.send_notes(from, have, out),
+            Message::NotesWanted { have } => self.send_notes(now, from, have, out),
             Message::Notes { notes, agreed } => self.notes_from_peer(now, notes, agreed, out),
             Message::ExceptionsWanted { slots, take_over } => {
                 self.serve_exceptions(from, slots, take_over);
@@ -417,10 +418,20 @@
             Phase::Leaving if self.may_leave(now) => Phase::Left,
             _ => return,
         };
+        if next == Phase::Left {
+            self.relations.left_at = Some(now);
+        }
         self.set_phase(now, next);
         out.push(Action::EnteredPhase { phase: next });
     }
 
+    /// Returns whether this member has left for so long that those who took
+    /// its slots over need it no more.
+    pub fn is_dispensable(&self, now: Instant) -> bool {
+        let left = self.relations.left_at;
+        left.is_some_and(|at| now.since(at) >= TAKE_OVER_WAIT)
+    }
+
     fn may_activate(&self, now: Instant) -> bool {
         if self.behind_since.is_some() || self.catalog.revision() == Revision::default() {
             return false;
@@ -469,6 +480,9 @@
     }
 }
 
+/// How long a member that has left answers those who take its slots over.
+const TAKE_OVER_WAIT: Duration = Duration::from_millis(2_500);
+
 /// How long a planned stop is known before ownership may move.
 const LEAVE_ANNOUNCE: Duration = Duration::from_millis(1_000);
 
--- a/crates/cicadaweir-core/src/node/notes.rs
+++ b/crates/cicadaweir-core/src/node/notes.rs
@@ -2,7 +2,12 @@
 
 use std::sync::Arc;
 
-use crate::{catalog::ReleaseNote, membership::MemberId, message::Message, prelude::*};
+use crate::{
+    catalog::ReleaseNote,
+    membership::{MemberId, Phase},
+    message::Message,
+    prelude::*,
+};
 
 use super::Node;
 
@@ -12,6 +17,14 @@
 /// How long an unanswered request for notes stands.
 const NOTES_PATIENCE: Duration = Duration::from_millis(300);
 
+/// A release note, and how long ago somebody first learned of it.
+#[derive(Debug)]
+pub(super) struct HeldNote {
+    note: Arc<ReleaseNote>,
+    age: Duration,
+    since: Instant,
+}
+
 impl Node {
     /// Takes a note that the driver read from the store. Notes that are out
     /// of order are ignored; the driver reads them again from
@@ -23,7 +36,8 @@
         out: &mut Vec<Action>,
     ) {
         if note.revision == self.catalog.revision().next() {
-            self.apply_note(now, note);
+            let age = self.published_age(now, &note);
+            self.apply_note(now, note, age);
             self.tick_agreement(now, out);
             self.tell_neighbours(out);
         }
@@ -34,21 +48,33 @@
         self.catalog.revision()
     }
 
-    fn apply_note(&mut self, now: Instant, note: Arc<ReleaseNote>) {
+    fn apply_note(&mut self, now: Instant, note: Arc<ReleaseNote>, age: Duration) {
         let Ok(touched) = self.catalog.apply(&note) else {
             self.counters.error(ErrorKind::NoteInvalid);
             return;
         };
         self.agreement.learn(note.revision, now);
-        self.retire_by_age(now, &note);
-        self.notes.push(note);
+        self.retire_by_age(age);
+        self.notes.push(HeldNote {
+            note,
+            age,
+            since: now,
+        });
         self.catalog_changed(now, &touched);
     }
 
+    /// Returns how old a note from the store is. Only a newcomer goes by the
+    /// publisher's clock; to everybody else what is new is new.
+    fn published_age(&self, now: Instant, note: &ReleaseNote) -> Duration {
+        if self.phase() != Phase::Joining {
+            return Duration::ZERO;
+        }
+        Duration::from_millis(self.wall_clock_ms(now).saturating_sub(note.published_ms))
+    }
+
     /// A newcomer reads old notes: generations that ended long ago are not
     /// live any more.
-    fn retire_by_age(&mut self, now: Instant, note: &ReleaseNote) {
-        let age = Duration::from_millis(self.wall_clock_ms(now).saturating_sub(note.published_ms));
+    fn retire_by_age(&mut self, age: Duration) {
         if age <= self.options.expiry.established {
             return;
         }
@@ -106,12 +132,17 @@
         self.send(from, Message::NotesWanted { have }, out);
     }
 
-    pub(super) fn send_notes(&mut self, to: MemberId, have: Revision, out: &mut Vec<Action>) {
-        let first = self.notes.partition_point(|n| n.revision <= have);
-        let notes: Vec<_> = self.notes[first..]
-            .iter()
-            .take(MOST_NOTES)
-            .cloned()
+    pub(super) fn send_notes(
+        &mut self,
+        now: Instant,
+        to: MemberId,
+        have: Revision,
+        out: &mut Vec<Action>,
+    ) {
+        let first = self.notes.partition_point(|n| n.note.revision <= have);
+        let notes = self.notes[first..].iter().take(MOST_NOTES);
+        let notes = notes
+            .map(|n| (Arc::clone(&n.note), n.age + now.since(n.since)))
             .collect();
         let agreed = self.agreement.agreed();
         self.send(to, Message::Notes { notes, agreed }, out);
@@ -120,15 +151,15 @@
     pub(super) fn notes_from_peer(
         &mut self,
         now: Instant,
-        notes: Vec<Arc<ReleaseNote>>,
+        notes: Vec<(Arc<ReleaseNote>, Duration)>,
         agreed: Revision,
         out: &mut Vec<Action>,
     ) {
         self.notes_asked = None;
         let before = self.agreement.known();
-        for note in notes {
+        for (note, age) in notes {
             if note.revision == self.catalog.revision().next() {
-                self.apply_note(now, note);
+                self.apply_note(now, note, age);
             }
         }
         let in_force = self.agreement.hear_agreed(agreed);
--- a/crates/cicadaweir-lab/src/world/act.rs
+++ b/crates/cicadaweir-lab/src/world/act.rs
@@ -17,7 +17,7 @@
 const OPENING_ANSWERS: u32 = 4;
 
 /// How long a node that has left still forwards.
-const QUIET_STOP: Duration = Duration::from_secs(2);
+const QUIET_STOP: Duration = Duration::from_millis(2_500);
 
 /// The packet number of a reset that refuses an opening.
 const REFUSAL: u32 = 1;
--- a/crates/cicadaweir-proto/schema/peer.capnp
+++ b/crates/cicadaweir-proto/schema/peer.capnp
@@ -57,7 +57,7 @@
     members :group { first @10 :UInt32; records @11 :List(Member); more @12 :Bool; }
     known :group { revision @13 :UInt64; }
     notesWanted :group { have @14 :UInt64; }
-    notes :group { notes @15 :List(Data); agreed @16 :UInt64; }
+    notes :group { notes @15 :List(Data); agreed @16 :UInt64; agesMs @32 :List(UInt64); }
     exceptionsWanted :group { slots @17 :List(UInt16); takeOver @27 :Bool; }
     exceptions :group { flows @18 :List(Exception); last @19 :Bool; tookOver @28 :Bool; }
     lookup :group { flowHash @20 :UInt64; }
--- a/crates/cicadaweir-proto/src/codec/decode.rs
+++ b/crates/cicadaweir-proto/src/codec/decode.rs
@@ -77,8 +77,9 @@
             notes: r
                 .get_notes()?
                 .iter()
-                .map(|bytes| release_note(bytes?))
-                .collect::<Result<_, _>>()?,
+                .zip(r.get_ages_ms()?.iter())
+                .map(|(bytes, age)| Ok((release_note(bytes?)?, Duration::from_millis(age))))
+                .collect::<Result<_, CodecError>>()?,
             agreed: Revision(r.get_agreed()),
         },
         Which::ExceptionsWanted(r) => Message::ExceptionsWanted {
--- a/crates/cicadaweir-proto/src/codec/encode.rs
+++ b/crates/cicadaweir-proto/src/codec/encode.rs
@@ -71,10 +71,14 @@
         Message::Notes { notes, agreed } => {
             let mut b = envelope.init_notes();
             b.set_agreed(agreed.0);
-            let mut list = b.init_notes(notes.len() as u32);
-            for (at, release) in (0..).zip(notes) {
+            let mut list = b.reborrow().init_notes(notes.len() as u32);
+            for (at, (release, _)) in (0..).zip(notes) {
                 list.set(at, &note::to_json(release));
             }
+            let mut ages = b.init_ages_ms(notes.len() as u32);
+            for (at, (_, age)) in (0..).zip(notes) {
+                ages.set(at, age.as_millis());
+            }
         }
         Message::ExceptionsWanted { slots, take_over } => {
             let mut b = envelope.init_exceptions_wanted();
--- a/crates/cicadaweir-proto/src/list.rs
+++ b/crates/cicadaweir-proto/src/list.rs
@@ -18,6 +18,9 @@
     pub zone: u16,
     /// Where its peer socket listens.
     pub peer: SocketAddr,
+    /// Where its control endpoint listens; the tool asks there.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub control: Option<SocketAddr>,
     /// Whether the platform is about to stop it.
     #[serde(default)]
     pub leaving: bool,
--- a/crates/cicadaweir-proto/src/peer_capnp.rs
+++ b/crates/cicadaweir-proto/src/peer_capnp.rs
@@ -1954,7 +1954,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2073,6 +2073,7 @@
             self.builder.set_data_field::<u16>(1, 7);
             self.builder.reborrow().get_pointer_field(0).clear();
             self.builder.set_data_field::<u64>(1, 0u64);
+            self.builder.reborrow().get_pointer_field(1).clear();
             self.builder.into()
         }
         #[inline]
@@ -2222,7 +2223,7 @@
             ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(129, 84, 227, 215, 169, 194, 241, 182),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 15, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 15, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
@@ -2529,7 +2530,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2622,7 +2623,7 @@
                 ::capnp::word(240, 187, 122, 117, 155, 243, 158, 200),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
-                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2772,7 +2773,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2873,7 +2874,7 @@
                 ::capnp::word(122, 162, 8, 72, 219, 165, 211, 133),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
-                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3030,7 +3031,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3112,7 +3113,7 @@
                 ::capnp::word(225, 184, 96, 143, 45, 127, 28, 145),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
-                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3249,7 +3250,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3323,7 +3324,7 @@
                 ::capnp::word(103, 195, 150, 74, 78, 43, 49, 134),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
-                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3457,7 +3458,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3555,7 +3556,7 @@
                 ::capnp::word(169, 68, 195, 90, 238, 80, 102, 193),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
-                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3712,7 +3713,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3786,7 +3787,7 @@
                 ::capnp::word(5, 210, 59, 156, 192, 171, 193, 213),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
-                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3908,7 +3909,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3982,7 +3983,7 @@
                 ::capnp::word(202, 155, 24, 179, 105, 146, 250, 218),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
-                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4107,11 +4108,19 @@
             pub fn get_agreed(self) -> u64 {
                 self.reader.get_data_field::<u64>(1)
             }
+            #[inline]
+            pub fn get_ages_ms(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_ages_ms(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4185,6 +4194,22 @@
             pub fn set_agreed(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(1, value);
             }
+            #[inline]
+            pub fn get_ages_ms(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_ages_ms(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_ages_ms(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+            }
+            #[inline]
+            pub fn has_ages_ms(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4196,38 +4221,45 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 51] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 70] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(165, 176, 77, 155, 120, 198, 186, 206),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
-                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 69, 110, 118, 101, 108),
                 ::capnp::word(111, 112, 101, 46, 110, 111, 116, 101),
                 ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(61, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(89, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 32, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(93, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(110, 111, 116, 101, 115, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4248,11 +4280,24 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 103, 101, 115, 77, 115, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4266,9 +4311,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
             pub(crate) const TYPE_ID: u64 = 0xceba_c678_9b4d_b0a5;
         }
     }
@@ -4350,7 +4395,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4440,7 +4485,7 @@
                 ::capnp::word(170, 159, 30, 180, 42, 133, 70, 209),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
-                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4595,7 +4640,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4693,7 +4738,7 @@
                 ::capnp::word(247, 100, 66, 35, 220, 131, 0, 185),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
-                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4851,7 +4896,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4925,7 +4970,7 @@
                 ::capnp::word(3, 155, 41, 123, 138, 137, 57, 172),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
-                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5059,7 +5104,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5157,7 +5202,7 @@
                 ::capnp::word(66, 92, 163, 168, 255, 221, 59, 145),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
-                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5332,7 +5377,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5414,7 +5459,7 @@
                 ::capnp::word(131, 211, 118, 110, 106, 160, 48, 230),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
-                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5555,7 +5600,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5637,7 +5682,7 @@
                 ::capnp::word(198, 67, 5, 91, 11, 81, 3, 173),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
-                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5778,7 +5823,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5860,7 +5905,7 @@
                 ::capnp::word(129, 94, 219, 216, 36, 26, 162, 136),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
-                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
--- a/crates/cicadaweir-standins/src/caller/flow.rs
+++ b/crates/cicadaweir-standins/src/caller/flow.rs
@@ -24,6 +24,9 @@
 /// How long a request waits for its whole answer.
 const REQUEST_DEADLINE: Duration = Duration::from_secs(4);
 
+/// The most packets of an answer that counts as short.
+const SHORT_PACKETS: u32 = 3;
+
 /// What a flow does.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FlowPlan {
@@ -213,7 +216,11 @@
         }
         tally.answered += 1;
         let micros = now.duration_since(asked.since).as_micros() as u64;
-        tally.times.saturating_record(micros);
+        if self.plan.packets <= SHORT_PACKETS {
+            tally.times.saturating_record(micros);
+        } else {
+            tally.download_times.saturating_record(micros);
+        }
         if self.target.as_deref().is_some_and(|t| t != target) {
             tally.moved += 1;
         }
--- a/crates/cicadaweir-standins/src/caller/pool.rs
+++ b/crates/cicadaweir-standins/src/caller/pool.rs
@@ -70,10 +70,10 @@
 
     /// Takes the packets that are there and lets time pass.
     pub fn turn(&mut self) {
-        while let Some(segment) = self.fabric.receive() {
+        while let Some((at, segment)) = self.fabric.receive() {
             let key = (segment.destination, segment.source);
             if let Some(flow) = self.flows.get_mut(&key) {
-                flow.packet(Instant::now(), &segment, &mut self.tally);
+                flow.packet(at, &segment, &mut self.tally);
             }
             if self.last_tick.elapsed() > TICK {
                 break;
--- a/crates/cicadaweir-standins/src/caller/tally.rs
+++ b/crates/cicadaweir-standins/src/caller/tally.rs
@@ -31,13 +31,15 @@
     pub wrong_answer: u64,
     /// Flows whose answers came from two targets.
     pub moved: u64,
-    /// The times of answered requests, in microseconds.
+    /// The times of answered requests of a few packets, in microseconds.
     pub times: Histogram<u64>,
+    /// The times of answered downloads, in microseconds.
+    pub download_times: Histogram<u64>,
 }
 
 impl Default for Tally {
     fn default() -> Self {
-        let times = Histogram::new_with_bounds(1, LONGEST_MICROS, DIGITS);
+        let times = || Histogram::new_with_bounds(1, LONGEST_MICROS, DIGITS);
         Self {
             opened: 0,
             refused: 0,
@@ -48,7 +50,8 @@
             wrong_service: 0,
             wrong_answer: 0,
             moved: 0,
-            times: times.expect("constant bounds"),
+            times: times().expect("constant bounds"),
+            download_times: times().expect("constant bounds"),
         }
     }
 }
--- a/crates/cicadaweir-standins/src/site.rs
+++ b/crates/cicadaweir-standins/src/site.rs
@@ -92,6 +92,7 @@
                 id: u32::from(member),
                 zone: self.zone(member),
                 peer: (self.ip(1, member), PEER_PORT).into(),
+                control: Some(self.control(member)),
                 leaving: false,
             })
             .collect()
--- a/crates/cicadaweir-standins/src/target/app.rs
+++ b/crates/cicadaweir-standins/src/target/app.rs
@@ -10,7 +10,7 @@
 };
 
 use cicadaweir_core::flow::Protocol;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 
 use crate::segment::{Flags, Segment};
 
@@ -45,8 +45,9 @@
     connections: IndexMap<(std::net::SocketAddr, std::net::SocketAddr), Connection>,
     waiting: VecDeque<Request>,
     working: BTreeMap<(Instant, u64), Request>,
-    executed: IndexSet<u64>,
-    /// Requests that were begun twice.
+    /// Requests that came, and whether they are completed.
+    requests: IndexMap<u64, bool>,
+    /// Requests that came again.
     pub repeated: u64,
     /// Requests that were begun.
     pub begun: u64,
@@ -69,7 +70,7 @@
             connections: IndexMap::new(),
             waiting: VecDeque::new(),
             working: BTreeMap::new(),
-            executed: IndexSet::new(),
+            requests: IndexMap::new(),
             repeated: 0,
             begun: 0,
             completed: 0,
@@ -91,7 +92,7 @@
     /// Takes a packet and appends the answers.
     pub fn packet(&mut self, now: Instant, segment: Segment, out: &mut Vec<Segment>) {
         match segment.protocol {
-            Protocol::Udp => self.request(segment),
+            Protocol::Udp => self.request(segment, out),
             Protocol::Tcp => self.tcp(segment, out),
         }
         self.start_work(now);
@@ -116,7 +117,7 @@
             return out.push(answer);
         }
         if !segment.payload.is_empty() {
-            self.request(segment);
+            self.request(segment, out);
         }
     }
 
@@ -134,16 +135,28 @@
         out.push(answer);
     }
 
-    fn request(&mut self, segment: Segment) {
-        if self.mute {
+    /// Returns the identities of the requests that came here.
+    pub fn requests(&self) -> impl Iterator<Item = u64> {
+        self.requests.keys().copied()
+    }
+
+    /// Queues a request; one that came before is not run again, and its answer
+    /// is repeated.
+    fn request(&mut self, segment: Segment, out: &mut Vec<Segment>) {
+        let Some(request) = parse(segment).filter(|_| !self.mute) else {
             return;
-        }
-        if let Some(request) = parse(segment) {
-            if !self.executed.insert(request.identity) {
+        };
+        match self.requests.get(&request.identity) {
+            Some(&completed) => {
                 self.repeated += 1;
-                return;
+                if completed {
+                    self.answer(&request, out);
+                }
+            }
+            None => {
+                self.requests.insert(request.identity, false);
+                self.waiting.push_back(request);
             }
-            self.waiting.push_back(request);
         }
     }
 
@@ -166,6 +179,7 @@
             }
             let request = entry.remove();
             self.completed += 1;
+            self.requests.insert(request.identity, true);
             self.answer(&request, out);
             self.start_work(now);
         }
--- a/crates/cicadaweir-standins/src/target/server.rs
+++ b/crates/cicadaweir-standins/src/target/server.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::UdpSocket,
+    net::{SocketAddr, UdpSocket},
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
@@ -31,6 +31,7 @@
 pub struct TargetServer {
     options: TargetOptions,
     app: Arc<Mutex<App>>,
+    entry_vms: Arc<Mutex<Vec<SocketAddr>>>,
     ended: Arc<AtomicBool>,
 }
 
@@ -49,6 +50,7 @@
         );
         let this = Self {
             app: Arc::new(Mutex::new(app)),
+            entry_vms: Arc::new(Mutex::new(options.entry_vms.clone())),
             ended: Arc::new(AtomicBool::new(false)),
             options,
         };
@@ -62,6 +64,11 @@
         lock(&self.app)
     }
 
+    /// Sets the entry VMs that answers are sent through.
+    pub fn set_entry_vms(&self, entry_vms: Vec<SocketAddr>) {
+        *lock(&self.entry_vms) = entry_vms;
+    }
+
     /// Returns the options.
     pub const fn options(&self) -> &TargetOptions {
         &self.options
@@ -74,7 +81,7 @@
             socket,
             app: Arc::clone(&self.app),
             random: Pcg64Mcg::seed_from_u64(u64::from(self.options.endpoint.port())),
-            options: self.options.clone(),
+            entry_vms: Arc::clone(&self.entry_vms),
             answers: Vec::new(),
             packet: Vec::new(),
             datagram: Vec::new(),
@@ -111,8 +118,9 @@
     }
 }
 
-fn lock(app: &Mutex<App>) -> MutexGuard<'_, App> {
-    app.lock()
+fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared
+        .lock()
         .unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
@@ -130,7 +138,7 @@
     socket: UdpSocket,
     app: Arc<Mutex<App>>,
     random: Pcg64Mcg,
-    options: TargetOptions,
+    entry_vms: Arc<Mutex<Vec<SocketAddr>>>,
     answers: Vec<Segment>,
     packet: Vec<u8>,
     datagram: Vec<u8>,
@@ -160,13 +168,15 @@
 
     /// Sends an answer back through any entry VM.
     fn send(&mut self, answer: &Segment) {
-        let vms = &self.options.entry_vms;
+        let vms = lock(&self.entry_vms);
         if vms.is_empty() {
             return;
         }
         let at = self.random.next_u64() as usize % vms.len();
+        let to = vms[at];
+        drop(vms);
         answer.write(&mut self.packet);
         tunnel::encapsulate(&self.packet, &mut self.datagram);
-        let _ = self.socket.send_to(&self.datagram, vms[at]);
+        let _ = self.socket.send_to(&self.datagram, to);
     }
 }
--- a/crates/cicadaweir/src/main.rs
+++ b/crates/cicadaweir/src/main.rs
@@ -1,3 +1,12 @@
-//! The command-line tool; its commands follow.
+//! The command-line tool.
 
-fn main() {}
+mod arguments;
+mod commands;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments = arguments::arguments().run();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("error")).init();
+    commands::run(arguments)
+}
--- a/crates/cicadaweir/src/publish.rs
+++ b/crates/cicadaweir/src/publish.rs
@@ -7,7 +7,10 @@
 
 mod error;
 
-use std::{thread, time::Duration};
+use std::{
+    thread,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use cicadaweir_core::catalog::{Change, NoteId, ReleaseNote, Revision};
 use cicadaweir_proto::{
@@ -56,6 +59,12 @@
     }
 }
 
+/// Returns the time in milliseconds since 1970.
+pub fn now_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |d| d.as_millis() as u64)
+}
+
 /// Publishes a release note.
 ///
 /// # Errors
--- a/crates/cicadaweird/src/daemon/engine.rs
+++ b/crates/cicadaweird/src/daemon/engine.rs
@@ -1,7 +1,7 @@
 //! The core with its buffers, between the sockets.
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, atomic::Ordering, mpsc::Sender},
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -55,6 +55,7 @@
     pub probes: Sender<(TargetKey, SocketAddr)>,
     pub tracer: Tracer,
     pub pacer: Option<Pacer>,
+    pub blocked: Vec<IpAddr>,
     hash_key: hash::HashKey,
     started: Instant,
     reporter: Reporter,
@@ -98,6 +99,7 @@
                 POOL_PACKETS as usize / 2,
                 Instant::now(),
             ),
+            blocked: Vec::new(),
             hash_key,
             started: Instant::now(),
             reporter: Reporter::new(settings.metrics.statsd),
@@ -125,6 +127,9 @@
         from: SocketAddr,
         bytes: &[u8],
     ) {
+        if self.blocked.contains(&from.ip()) {
+            return;
+        }
         let direction = if from.ip() == self.fabric.ip() {
             Direction::ToTarget
         } else {
@@ -189,6 +194,9 @@
         from: SocketAddr,
         bytes: &[u8],
     ) {
+        if self.blocked.contains(&from.ip()) {
+            return;
+        }
         match bytes.first_chunk::<2>() {
             Some(&MESSAGE_MAGIC) => self.message(tunnel, peer, from, &bytes[2..]),
             Some(&relay::MAGIC) => self.relayed(tunnel, peer, from, bytes),
@@ -278,6 +286,7 @@
                 let _ = tx.send(reply);
             }
             Input::Stop => self.stop(tunnel, peer),
+            Input::Block(addresses) => self.blocked = addresses,
             Input::Abort => {}
         }
     }
@@ -355,6 +364,6 @@
     /// Returns whether a planned stop is over.
     pub fn has_stopped(&self) -> bool {
         self.stopping
-            .is_some_and(|s| s.is_over(Instant::now(), self.node.phase()))
+            .is_some_and(|s| s.is_over(Instant::now(), self.node.is_dispensable(self.now())))
     }
 }
--- a/crates/cicadaweird/src/daemon/handle.rs
+++ b/crates/cicadaweird/src/daemon/handle.rs
@@ -2,6 +2,7 @@
 
 use std::{
     io,
+    net::IpAddr,
     sync::mpsc::channel,
     thread::{self, JoinHandle},
 };
@@ -47,6 +48,11 @@
         self.inbox.send(Input::Stop);
     }
 
+    /// Loses datagrams to and from some addresses, until it is called again.
+    pub fn block(&self, addresses: Vec<IpAddr>) {
+        self.inbox.send(Input::Block(addresses));
+    }
+
     /// Ends the daemon at once and waits for it, as a crash would.
     pub fn abort(&mut self) {
         self.inbox.send(Input::Abort);
--- a/crates/cicadaweird/src/daemon/outputs.rs
+++ b/crates/cicadaweird/src/daemon/outputs.rs
@@ -91,7 +91,9 @@
         packet: PacketRef,
         to: SocketAddr,
     ) {
+        let blocked = self.blocked.contains(&to.ip());
         match current.filter(|c| c.packet == packet) {
+            Some(_) if blocked => {}
             Some(current) => {
                 tunnel.send(to, current.bytes);
             }
@@ -164,7 +166,7 @@
             .extend_from_slice(&relay::encode(header, current.trace));
         self.scratch.extend_from_slice(current.bytes);
         self.counters.relayed_bytes += self.scratch.len() as u64;
-        peer.send(address, &self.scratch);
+        self.send_peer(peer, address);
         self.trace(Some(current), "relay", || format!("entry VM {to}"));
     }
 
@@ -207,12 +209,19 @@
         codec::encode(self.member, message, &mut self.scratch);
         let kind = message.kind().name();
         *self.counters.control_bytes.entry(kind).or_default() += self.scratch.len() as u64;
-        peer.send(address, &self.scratch);
+        self.send_peer(peer, address);
+    }
+
+    fn send_peer(&self, peer: &BatchSocket, to: SocketAddr) {
+        if !self.blocked.contains(&to.ip()) {
+            peer.send(to, &self.scratch);
+        }
     }
 
     fn probe(&mut self, target: TargetKey) {
         let probe = self.node.catalog().target(target).spec.probe;
-        if let Some(endpoint) = probe {
+        let reachable = |e: &Endpoint| !self.blocked.contains(&SocketAddr::from(*e).ip());
+        if let Some(endpoint) = probe.filter(reachable) {
             let _ = self.probes.send((target, endpoint.into()));
         }
     }
--- a/crates/cicadaweird/src/daemon/stopping.rs
+++ b/crates/cicadaweird/src/daemon/stopping.rs
@@ -2,8 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-use cicadaweir_core::membership::Phase;
-
 /// A planned stop in progress.
 #[derive(Debug, Clone, Copy)]
 pub struct Stopping {
@@ -31,8 +29,7 @@
     }
 
     /// Returns whether the process may end.
-    pub fn is_over(&self, now: Instant, phase: Phase) -> bool {
-        let handed_over = phase == Phase::Left;
+    pub fn is_over(&self, now: Instant, handed_over: bool) -> bool {
         let quiet = now.duration_since(self.last_packet) >= self.quiet;
         (handed_over && quiet) || now.duration_since(self.asked) >= self.limit
     }
--- a/crates/cicadaweird/src/inbox.rs
+++ b/crates/cicadaweird/src/inbox.rs
@@ -1,5 +1,6 @@
 //! What helper threads say to the loop.
 
+use std::net::IpAddr;
 use std::sync::{
     Arc,
     mpsc::{Receiver, Sender, channel},
@@ -25,6 +26,9 @@
     Probed(TargetKey, ProbeResult),
     /// The tool asks something.
     Query(Query, Sender<Reply>),
+    /// Datagrams to and from these addresses are lost from now on, as in a
+    /// cut between zones; for tests and the demo.
+    Block(Vec<IpAddr>),
     /// The process is to stop.
     Stop,
     /// The process is to end at once, as by a crash; for the demo.
