--- a/crates/cicadaweir-core/src/request/dispatcher.rs
+++ b/crates/cicadaweir-core/src/request/dispatcher.rs
@@ -88,6 +88,9 @@
         if let Some(record) = self.records.get(&unit.id) {
             return Outcome::Repeated(record.target);
         }
+        if self.queue.contains(unit.id) {
+            return Outcome::Queued;
+        }
         if now >= unit.deadline {
             return Outcome::Refused(ErrorKind::LookupTimeout);
         }
--- a/crates/cicadaweir-core/src/request/queue.rs
+++ b/crates/cicadaweir-core/src/request/queue.rs
@@ -28,6 +28,11 @@
         self.len() == 0
     }
 
+    /// Returns whether a unit waits.
+    pub fn contains(&self, id: UnitId) -> bool {
+        self.short.iter().chain(&self.long).any(|u| u.id == id)
+    }
+
     /// Queues a unit.
     pub fn push(&mut self, unit: Unit) {
         match unit.size {
