--- a/crates/cicadaweir-core/src/agreement.rs
+++ b/crates/cicadaweir-core/src/agreement.rs
@@ -126,6 +126,12 @@
         news
     }
 
+    /// Puts a known revision into force without asking anybody; for proofs
+    /// that take the guard away.
+    pub fn force(&mut self, revision: Revision) {
+        self.agreed = self.agreed.max(revision.min(self.known));
+    }
+
     /// Advances by time; returns the report to send, if one is due, and
     /// whether the revision in force changed here.
     ///
--- a/crates/cicadaweir-core/src/flow/table.rs
+++ b/crates/cicadaweir-core/src/flow/table.rs
@@ -53,7 +53,7 @@
 pub struct TableFull;
 
 /// The flows that one entry VM remembers.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct FlowTable {
     entries: Vec<Option<FlowEntry>>,
     free: Vec<u32>,
--- a/crates/cicadaweir-core/src/membership/slots.rs
+++ b/crates/cicadaweir-core/src/membership/slots.rs
@@ -5,6 +5,8 @@
 //! changed by differences: a member that comes or goes costs one score a
 //! slot, and only the slots it held are decided anew.
 
+use std::{fmt, sync::Arc};
+
 use indexmap::IndexSet;
 
 use crate::hash;
@@ -20,21 +22,27 @@
 }
 
 /// The owner of each slot for one set of members.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct SlotTable {
     members: IndexSet<MemberId>,
-    owners: Vec<Option<(u64, MemberId)>>,
+    owners: Arc<Vec<Option<(u64, MemberId)>>>,
 }
 
 impl Default for SlotTable {
     fn default() -> Self {
         Self {
             members: IndexSet::new(),
-            owners: vec![None; SLOTS],
+            owners: Arc::new(vec![None; SLOTS]),
         }
     }
 }
 
+impl fmt::Debug for SlotTable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_set().entries(&self.members).finish()
+    }
+}
+
 impl SlotTable {
     /// Returns the owner of a slot, if there is any member.
     pub fn owner(&self, slot: u16) -> Option<MemberId> {
@@ -65,7 +73,7 @@
 
     fn add(&mut self, id: MemberId) {
         self.members.insert(id);
-        for (slot, owner) in self.owners.iter_mut().enumerate() {
+        for (slot, owner) in Arc::make_mut(&mut self.owners).iter_mut().enumerate() {
             let candidate = Some((score(slot, id), id));
             if candidate > *owner {
                 *owner = candidate;
@@ -75,7 +83,7 @@
 
     fn reassign(&mut self, gone: &[MemberId]) {
         let members = &self.members;
-        for (slot, owner) in self.owners.iter_mut().enumerate() {
+        for (slot, owner) in Arc::make_mut(&mut self.owners).iter_mut().enumerate() {
             if owner.is_some_and(|o| gone.contains(&o.1)) {
                 *owner = members.iter().map(|&id| (score(slot, id), id)).max();
             }
--- a/crates/cicadaweir-core/src/node.rs
+++ b/crates/cicadaweir-core/src/node.rs
@@ -2,6 +2,7 @@
 
 mod ambiguous;
 mod counters;
+mod guard;
 mod health;
 mod loads;
 mod lookup;
@@ -19,6 +20,7 @@
 use indexmap::IndexMap;
 
 pub use counters::Counters;
+pub use guard::Guard;
 pub use options::Options;
 pub use status::{Explanation, Status, TargetStatus};
 
@@ -43,7 +45,7 @@
 pub const TICK: Duration = Duration::from_millis(10);
 
 /// One entry VM.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Node {
     options: Options,
     hash_key: HashKey,
@@ -152,6 +154,11 @@
         self.tick_flows(now, out);
     }
 
+    /// Returns whether a guard is in place; proofs take one away.
+    fn guards(&self, guard: Guard) -> bool {
+        self.options.without != Some(guard)
+    }
+
     /// Returns the catalog.
     pub const fn catalog(&self) -> &Catalog {
         &self.catalog
--- a/crates/cicadaweir-core/src/node/ambiguous.rs
+++ b/crates/cicadaweir-core/src/node/ambiguous.rs
@@ -5,7 +5,7 @@
 use crate::catalog::ServiceKey;
 
 /// The slots of ambiguous buckets.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct AmbiguousSlots {
     services: IndexMap<ServiceKey, Vec<u16>>,
     /// For each slot, its ambiguous buckets over all services.
--- a/crates/cicadaweir-core/src/node/health.rs
+++ b/crates/cicadaweir-core/src/node/health.rs
@@ -6,7 +6,7 @@
     prelude::*,
 };
 
-use super::{Node, marks::Finding};
+use super::{Guard, Node, marks::Finding};
 
 /// What a node keeps of one target.
 #[derive(Debug, Clone, Default)]
@@ -70,7 +70,8 @@
     /// member has heard it.
     pub(super) fn mark_is_settled(&self, now: Instant, target: TargetKey) -> bool {
         let state = &self.targets[target.0 as usize];
-        now.since(state.marked_since) >= self.options.load.settle
+        let settled = now.since(state.marked_since) >= self.options.load.settle;
+        settled || !self.guards(Guard::MarkBeforeDeviating)
     }
 
     /// Returns whether a ramping target takes this flow: its part of the
--- a/crates/cicadaweir-core/src/node/lookup.rs
+++ b/crates/cicadaweir-core/src/node/lookup.rs
@@ -22,7 +22,7 @@
 const LOOKUP_BYTES: f64 = 40.0;
 
 /// One flow whose packets wait.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Waiting {
     packets: Vec<PacketRef>,
     info: PacketInfo,
@@ -32,7 +32,7 @@
 }
 
 /// The flows whose packets wait, and the flows that seem silent.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Lookups {
     waiting: IndexMap<u64, Waiting>,
     pub(super) suspicions: IndexMap<u64, Suspicion>,
--- a/crates/cicadaweir-core/src/node/members.rs
+++ b/crates/cicadaweir-core/src/node/members.rs
@@ -8,7 +8,7 @@
     prelude::*,
 };
 
-use super::Node;
+use super::{Guard, Node};
 
 /// The most marks, and the most loads, that ride on one message.
 const MOST_NEWS: usize = 6;
@@ -34,7 +34,7 @@
 }
 
 /// What a node keeps about its dealings with the other members.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Relations {
     errands: IndexMap<(MemberId, u32), Errand>,
     errand_sequence: u32,
@@ -370,7 +370,9 @@
     /// After a pause, what this member knows may be old: it chooses nothing
     /// until another member has answered.
     pub(super) fn resume_after_pause(&mut self, now: Instant) {
-        self.behind_since = Some(now);
+        if self.guards(Guard::Behind) {
+            self.behind_since = Some(now);
+        }
         self.detector.forget_open_probes();
     }
 
--- a/crates/cicadaweir-core/src/node/notes.rs
+++ b/crates/cicadaweir-core/src/node/notes.rs
@@ -9,7 +9,7 @@
     prelude::*,
 };
 
-use super::Node;
+use super::{Guard, Node};
 
 /// The most release notes in one message.
 const MOST_NOTES: usize = 16;
@@ -18,7 +18,7 @@
 const NOTES_PATIENCE: Duration = Duration::from_millis(300);
 
 /// A release note, and how long ago somebody first learned of it.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct HeldNote {
     note: Arc<ReleaseNote>,
     age: Duration,
@@ -175,6 +175,10 @@
     pub(super) fn tick_agreement(&mut self, now: Instant, out: &mut Vec<Action>) {
         let me = self.view.me();
         let order = std::mem::take(&mut self.relations.order);
+        if !self.guards(Guard::AnnounceBeforeUse) {
+            let known = self.agreement.known();
+            self.agreement.force(known);
+        }
         let (report, changed) = self.agreement.tick(now, me, &order);
         self.relations.order = order;
         if let Some(report) = report {
--- a/crates/cicadaweir-core/src/node/options.rs
+++ b/crates/cicadaweir-core/src/node/options.rs
@@ -1,5 +1,6 @@
 //! Settings of a node.
 
+use super::Guard;
 use crate::{
     agreement, flow::ExpiryOptions, load, membership, placement, route::Policy, time::Duration,
 };
@@ -43,6 +44,8 @@
     pub watchers_per_zone: usize,
     /// How new flows get their target.
     pub policy: Policy,
+    /// A guard that is taken away, for proofs only.
+    pub without: Option<Guard>,
 }
 
 impl Default for Options {
@@ -65,6 +68,7 @@
             silence: Duration::from_secs(10),
             watchers_per_zone: 2,
             policy: Policy::Owned,
+            without: None,
         }
     }
 }
--- a/crates/cicadaweir-core/src/node/packets.rs
+++ b/crates/cicadaweir-core/src/node/packets.rs
@@ -9,7 +9,7 @@
     route::{Decision, MOST_HOPS, Outlook, Reason, RelayHeader},
 };
 
-use super::{Node, placing::Arrival};
+use super::{Guard, Node, placing::Arrival};
 
 /// How long after a member vanished the resets of unknown flows are doubted.
 const DOUBT: Duration = Duration::from_secs(120);
@@ -261,6 +261,9 @@
         target: TargetKey,
     ) -> bool {
         let caller = &info.flow.caller;
+        if !self.guards(Guard::ResetFilter) && info.kind == PacketKind::Reset {
+            return true;
+        }
         let doubtful = info.kind == PacketKind::Reset && self.member_is_missing(now);
         let Some(entry) = self.flows.get_mut(hash, caller, address) else {
             if doubtful {
--- a/crates/cicadaweir-core/src/node/placing.rs
+++ b/crates/cicadaweir-core/src/node/placing.rs
@@ -9,7 +9,7 @@
     route::{Decision, Outlook, Policy, Reason},
 };
 
-use super::Node;
+use super::{Guard, Node};
 
 /// The parts of an arriving packet's flow that decisions need.
 #[derive(Debug, Clone, Copy)]
@@ -99,6 +99,9 @@
     /// Returns whether a member that ended without leaving may still have
     /// delivered, or be delivering, datagrams.
     fn witness_is_missing(&self, now: Instant) -> bool {
+        if !self.guards(Guard::Witness) {
+            return false;
+        }
         let horizon = self.options.repeat_horizon;
         self.view.iter().any(|m| {
             let gone = !m.reachable() && m.record.phase != Phase::Left;
--- a/crates/cicadaweir-core/src/node/probers.rs
+++ b/crates/cicadaweir-core/src/node/probers.rs
@@ -9,7 +9,7 @@
 };
 
 /// The members that share the probing, by zone.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Probers {
     zones: IndexMap<ZoneId, SlotTable>,
     all: SlotTable,
--- a/crates/cicadaweir-core/src/node/recovery.rs
+++ b/crates/cicadaweir-core/src/node/recovery.rs
@@ -23,7 +23,7 @@
     prelude::*,
 };
 
-use super::{Node, ambiguous::AmbiguousSlots};
+use super::{Guard, Node, ambiguous::AmbiguousSlots};
 
 /// The most exceptions in one message.
 const MOST_EXCEPTIONS: usize = 80;
@@ -70,7 +70,7 @@
 }
 
 /// The state of fetching and sending exceptions.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Recovery {
     next: SlotTable,
     handed: IndexMap<u64, TargetKey>,
@@ -209,6 +209,9 @@
     ) -> Option<MemberId> {
         let me = self.view.me();
         let owner = self.slots.owner(slot);
+        if !self.guards(Guard::TakeOver) {
+            return owner;
+        }
         let recovery = &self.recovery;
         let recent = |at: Instant| now.since(at) < TAKE_OVER_LIMIT;
         if let Some(&(new, _)) = recovery.taken.get(&slot).filter(|t| recent(t.1)) {
@@ -239,7 +242,7 @@
     pub(super) fn acquire(&mut self, now: Instant, acquired: Vec<Acquired>) {
         let me = self.view.me();
         for Acquired { slot, before } in acquired {
-            if !self.recovery.ambiguous.contains(slot) {
+            if !self.recovery.ambiguous.contains(slot) || !self.guards(Guard::TakeOver) {
                 continue;
             }
             let sources = self.sources(before);
--- a/crates/cicadaweir-core/src/node/silence.rs
+++ b/crates/cicadaweir-core/src/node/silence.rs
@@ -35,7 +35,7 @@
 const ANSWERS_OPENINGS: Duration = Duration::from_secs(10);
 
 /// A flow that seems silent.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Suspicion {
     target: TargetKey,
     /// When the caller first sent what is unanswered.
--- a/crates/cicadaweir-core/src/placement/generation.rs
+++ b/crates/cicadaweir-core/src/placement/generation.rs
@@ -1,6 +1,6 @@
 //! One generation of one service.
 
-use std::sync::Arc;
+use std::{fmt, sync::Arc};
 
 use crate::{
     catalog::{Revision, TargetKey},
@@ -8,7 +8,7 @@
 };
 
 /// The target of each bucket, as one release note leaves it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct Generation {
     /// The release note's revision.
     pub revision: Revision,
@@ -20,6 +20,16 @@
     pub table: Arc<[TargetKey]>,
 }
 
+impl fmt::Debug for Generation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Generation")
+            .field("revision", &self.revision)
+            .field("superseded", &self.superseded)
+            .field("targets", &self.targets)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Generation {
     /// Returns the target of a bucket.
     pub fn target(&self, bucket: u16) -> TargetKey {
--- a/crates/cicadaweir-lab/src/main.rs
+++ b/crates/cicadaweir-lab/src/main.rs
@@ -9,7 +9,7 @@
 };
 
 use bpaf::Bpaf;
-use cicadaweir_core::route::Policy;
+use cicadaweir_core::{node::Guard, route::Policy};
 use cicadaweir_lab::{
     capacity::{self, Cost, Size},
     fleet,
@@ -34,6 +34,16 @@
         /// Compare with the baselines
         baselines: bool,
     },
+    /// Runs scenarios with one guard taken away
+    #[bpaf(command)]
+    Guards {
+        /// Only scenarios whose name contains this
+        #[bpaf(argument("NAME"), fallback(String::new()))]
+        only: String,
+        /// Visits to each service in a second
+        #[bpaf(argument("N"), fallback(40))]
+        visits: u32,
+    },
     /// Spreads release notes and a crash through fleets of several sizes
     #[bpaf(command)]
     Fleet,
@@ -68,6 +78,7 @@
             seeds,
             baselines,
         } => scenarios(&only, seeds, baselines),
+        Command::Guards { only, visits } => guards(&only, visits),
         Command::Fleet => fleet_sizes(),
         Command::Capacity => capacity(),
         Command::Pacing => pacing(),
@@ -172,6 +183,41 @@
     slope("memory MB", |c| c.memory / 1e6);
 }
 
+fn guards(only: &str, visits: u32) -> ExitCode {
+    let jobs: Vec<(Option<Guard>, Scenario)> = all()
+        .into_iter()
+        .filter(|s| s.name.contains(only))
+        .flat_map(|mut scenario| {
+            scenario.load.visits = visits;
+            let guards = Guard::ALL.into_iter().map(Some);
+            std::iter::once(None)
+                .chain(guards)
+                .map(move |guard| (guard, scenario.clone()))
+        })
+        .collect();
+    let lines: Vec<String> = std::thread::scope(|scope| {
+        let started: Vec<_> = jobs
+            .iter()
+            .map(|(guard, scenario)| scope.spawn(move || guard_line(*guard, scenario)))
+            .collect();
+        started
+            .into_iter()
+            .map(|line| line.join().expect("no run panics"))
+            .collect()
+    });
+    lines.iter().for_each(|line| println!("{line}"));
+    ExitCode::SUCCESS
+}
+
+fn guard_line(guard: Option<Guard>, scenario: &Scenario) -> String {
+    let m = scenario.run_without(guard, Deployment::CompasAndino, 1);
+    let without = guard.map_or("all in place".to_owned(), |g| format!("without {g:?}"));
+    format!(
+        "{:<22} {without:<28} broken {:>5} unanswered {:>5} {:?}",
+        scenario.name, m.broken, m.unanswered, m.broken_invariants
+    )
+}
+
 fn fleet_sizes() -> ExitCode {
     println!(
         "{:>8} {:>14} {:>14} {:>14} {:>12} {:>12} {:>12}",
--- a/crates/cicadaweir-lab/src/scenario/set.rs
+++ b/crates/cicadaweir-lab/src/scenario/set.rs
@@ -2,13 +2,14 @@
 
 use cicadaweir_core::{
     catalog::ZoneId,
+    node::Guard,
     route::Policy,
     time::{Duration, Instant},
 };
 
 use crate::{
     measure::Measures,
-    world::{Behaviour, Fault, Happening, World},
+    world::{Behaviour, Fault, Happening, Options, World},
 };
 
 use super::{Deployment, Load};
@@ -73,6 +74,18 @@
         let mut options = deployment.options(seed);
         options.trace_caller = trace_caller;
         options.node.policy = policy;
+        self.run_options(options)
+    }
+
+    /// Runs the scenario with a guard of the decisions taken away.
+    pub fn run_without(&self, guard: Option<Guard>, deployment: Deployment, seed: u64) -> Measures {
+        let mut options = deployment.options(seed);
+        options.node.without = guard;
+        self.run_options(options).measures
+    }
+
+    fn run_options(&self, options: Options) -> World {
+        let seed = options.seed;
         let mut world = World::new(options);
         self.load.add_to(&mut world, seed, self.run);
         for &(second, fault) in &self.faults {
