--- a/crates/cicadaweir-core/src/catalog/index.rs
+++ b/crates/cicadaweir-core/src/catalog/index.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use hashbrown::DefaultHashBuilder;
 use indexmap::IndexMap;
 
 use crate::{
@@ -24,7 +25,7 @@
     pub(super) services: Vec<Arc<Service>>,
     pub(super) by_name: IndexMap<Arc<str>, ServiceKey>,
     pub(super) targets: Vec<Arc<Target>>,
-    pub(super) addresses: IndexMap<AddressSpec, ServiceKey>,
+    pub(super) addresses: IndexMap<AddressSpec, ServiceKey, DefaultHashBuilder>,
     pub(super) options: placement::Options,
 }
 
--- a/crates/cicadaweir-lab/src/lib.rs
+++ b/crates/cicadaweir-lab/src/lib.rs
@@ -10,8 +10,10 @@
 #![forbid(unsafe_code)]
 
 pub mod capacity;
+pub mod decisions;
 pub mod fleet;
 pub mod measure;
 pub mod pacing;
 pub mod scenario;
+pub mod throughput;
 pub mod world;
--- a/crates/cicadaweir-lab/src/main.rs
+++ b/crates/cicadaweir-lab/src/main.rs
@@ -12,10 +12,11 @@
 use cicadaweir_core::{node::Guard, route::Policy};
 use cicadaweir_lab::{
     capacity::{self, Cost, Size},
-    fleet,
+    decisions, fleet,
     measure::Measures,
     pacing::{self, Pacing},
     scenario::{Deployment, Scenario, all},
+    throughput,
 };
 
 /// Experiments on the decisions of cicadaweir, in virtual time.
@@ -34,6 +35,13 @@
         /// Compare with the baselines
         baselines: bool,
     },
+    /// Times decisions, and the daemon against a bare UDP relay
+    #[bpaf(command)]
+    Bench {
+        /// Turns of the daemon and the relay
+        #[bpaf(argument("N"), fallback(5))]
+        turns: usize,
+    },
     /// Runs scenarios with one guard taken away
     #[bpaf(command)]
     Guards {
@@ -78,6 +86,7 @@
             seeds,
             baselines,
         } => scenarios(&only, seeds, baselines),
+        Command::Bench { turns } => bench(turns),
         Command::Guards { only, visits } => guards(&only, visits),
         Command::Fleet => fleet_sizes(),
         Command::Capacity => capacity(),
@@ -183,6 +192,47 @@
     slope("memory MB", |c| c.memory / 1e6);
 }
 
+fn bench(turns: usize) -> ExitCode {
+    let cost = decisions::measure();
+    println!(
+        "decision, known flow of 500,000      {:>8.1} ns",
+        cost.known_ns
+    );
+    println!(
+        "decision, new flow, 14 targets       {:>8.1} ns",
+        cost.new_ns
+    );
+    println!(
+        "memory of a flow                     {:>8.1} bytes",
+        cost.bytes
+    );
+    match throughput::run(turns.max(1)) {
+        Ok(outcome) => {
+            println!(
+                "bare UDP relay, packets a second     {:?}",
+                rounded(&outcome.bare)
+            );
+            println!(
+                "daemon, packets a second             {:?}",
+                rounded(&outcome.daemon)
+            );
+            println!(
+                "daemon against relay (medians)       {:>8.2}",
+                outcome.ratio()
+            );
+            ExitCode::SUCCESS
+        }
+        Err(err) => {
+            eprintln!("{err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn rounded(values: &[f64]) -> Vec<u64> {
+    values.iter().map(|v| v.round() as u64).collect()
+}
+
 fn guards(only: &str, visits: u32) -> ExitCode {
     let jobs: Vec<(Option<Guard>, Scenario)> = all()
         .into_iter()
