feat: write the table of all scenarios and its plots by command

Cause: figures were copied by hand. Change: 'lab report' runs every scenario with the product's policy and three baselines and writes docs/measurements.

--- a/crates/cicadaweir-lab/src/lib.rs
+++ b/crates/cicadaweir-lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod measure;
 pub mod pacing;
+pub mod report;
 pub mod scenario;
 pub mod throughput;
 pub mod world;
--- a/crates/cicadaweir-lab/src/main.rs
+++ b/crates/cicadaweir-lab/src/main.rs
@@ -15,6 +15,7 @@
     decisions, fleet,
     measure::Measures,
     pacing::{self, Pacing},
+    report::{self, Row},
     scenario::{Deployment, Scenario, all},
     throughput,
 };
@@ -35,6 +36,16 @@
         /// Compare with the baselines
         baselines: bool,
     },
+    /// Writes the table of all scenarios and the plots
+    #[bpaf(command)]
+    Report {
+        /// Seeds for each scenario
+        #[bpaf(argument("N"), fallback(4))]
+        seeds: u64,
+        /// The folder
+        #[bpaf(argument("FOLDER"), fallback("docs/measurements".to_owned()))]
+        out: String,
+    },
     /// Times decisions, and the daemon against a bare UDP relay
     #[bpaf(command)]
     Bench {
@@ -86,6 +97,7 @@
             seeds,
             baselines,
         } => scenarios(&only, seeds, baselines),
+        Command::Report { seeds, out } => write_report(seeds, &out),
         Command::Bench { turns } => bench(turns),
         Command::Guards { only, visits } => guards(&only, visits),
         Command::Fleet => fleet_sizes(),
@@ -363,95 +375,98 @@
         "note ms",
         "good%"
     );
+    let rows = run_all(only, seeds, baselines);
+    let mut intact = true;
+    for row in &rows {
+        print_row(row);
+        intact &= row.policy != Policy::Owned || row.measures.broken_invariants.is_empty();
+    }
+    if intact {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn write_report(seeds: u64, out: &str) -> ExitCode {
+    let rows = run_all("", seeds, true);
+    match report::write(&rows, std::path::Path::new(out)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("{out}: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs every scenario with every policy and seed, as many at once as there
+/// are processors.
+fn run_all(only: &str, seeds: u64, baselines: bool) -> Vec<Row> {
     let policies: &[Policy] = if baselines {
         &Policy::ALL
     } else {
         &[Policy::Owned]
     };
-    let mut intact = true;
-    let mut jobs = Vec::new();
+    let mut rows: Vec<Mutex<Row>> = Vec::new();
     for scenario in all().into_iter().filter(|s| s.name.contains(only)) {
         for deployment in Deployment::ALL {
-            for &policy in policies {
-                jobs.push(Job {
+            rows.extend(policies.iter().map(|&policy| {
+                Mutex::new(Row {
                     scenario: scenario.clone(),
                     deployment,
                     policy,
-                });
-            }
+                    measures: Measures::default(),
+                    seeds,
+                })
+            }));
         }
     }
-    for (job, sum) in jobs.iter().zip(run_all(&jobs, seeds)) {
-        print_row(&job.scenario, job.deployment, job.policy, &sum, seeds);
-        intact &= job.policy != Policy::Owned || sum.broken_invariants.is_empty();
-    }
-    if intact {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    }
-}
-
-/// One row of the table.
-struct Job {
-    scenario: Scenario,
-    deployment: Deployment,
-    policy: Policy,
-}
-
-/// Runs every job with every seed, as many at once as there are processors.
-fn run_all(jobs: &[Job], seeds: u64) -> Vec<Measures> {
     let next = AtomicUsize::new(0);
-    let runs = jobs.len() * seeds as usize;
-    let sums: Vec<Mutex<Measures>> = jobs.iter().map(|_| Mutex::default()).collect();
     let threads = std::thread::available_parallelism().map_or(1, usize::from);
     std::thread::scope(|scope| {
         for _ in 0..threads {
-            scope.spawn(|| {
-                loop {
-                    let at = next.fetch_add(1, Ordering::Relaxed);
-                    if at >= runs {
-                        return;
-                    }
-                    let job = &jobs[at / seeds as usize];
-                    let seed = 1 + at as u64 % seeds;
-                    let run = job.scenario.run(job.deployment, job.policy, seed);
-                    let mut sum = sums[at / seeds as usize].lock().expect("no run panics");
-                    sum.add(&run);
-                }
-            });
+            scope.spawn(|| run_rows(&rows, seeds, &next));
         }
     });
-    let inner = |sum: Mutex<Measures>| sum.into_inner().expect("no run panics");
-    sums.into_iter().map(inner).collect()
+    let inner = |row: Mutex<Row>| row.into_inner().expect("no run panics");
+    rows.into_iter().map(inner).collect()
+}
+
+/// Runs rows, one seed after the other, until none is left.
+fn run_rows(rows: &[Mutex<Row>], seeds: u64, next: &AtomicUsize) {
+    loop {
+        let at = next.fetch_add(1, Ordering::Relaxed);
+        let Some(row) = rows.get(at / seeds as usize) else {
+            return;
+        };
+        let seed = 1 + at as u64 % seeds;
+        let (scenario, deployment, policy) = {
+            let row = row.lock().expect("no run panics");
+            (row.scenario.clone(), row.deployment, row.policy)
+        };
+        let run = scenario.run(deployment, policy, seed);
+        row.lock().expect("no run panics").measures.add(&run);
+    }
 }
 
-fn print_row(
-    scenario: &Scenario,
-    deployment: Deployment,
-    policy: Policy,
-    m: &Measures,
-    seeds: u64,
-) {
-    let relay = 100.0 * m.relayed as f64 / (m.forwarded.max(1)) as f64;
-    let good =
-        100.0 * m.good_in_surge as f64 / (u64::from(scenario.load.surge).max(1) * seeds) as f64;
+fn print_row(row: &Row) {
+    let m = &row.measures;
     println!(
         "{:<22} {:<14} {:<14} {:>7} {:>6} {:>7} {:>6} {:>6} {:>8.1} {:>7.3} {:>6.0} {:>7.2} {:>7} {:>6.1}  {:?}",
-        scenario.name,
-        deployment.name(),
-        policy.name(),
+        row.scenario.name,
+        row.deployment.name(),
+        row.policy.name(),
         m.opened,
         m.broken,
         m.refused,
         m.unanswered,
         m.opened_twice,
         m.times.value_at_quantile(0.99) as f64 / 1e3,
-        m.imbalance / seeds as f64,
+        m.imbalance / row.seeds as f64,
         m.control_rate(),
-        relay,
+        100.0 * row.relayed_part(),
         m.slowest_note().as_millis(),
-        good,
+        100.0 * row.good_part(),
         m.broken_invariants,
     );
 }
