fix: leave datagrams unanswered where not all members can be asked

Cause: at most eight members are asked about a flow; in a larger fleet a ninth may have delivered the datagram. A head that has forgotten its first notes made every publication fail without a word of why. Change: a fleet of more than nine members counts as having a missing witness; the head names 16,384 notes, and what it has forgotten is said.

--- a/crates/cicadaweir-core/src/membership.rs
+++ b/crates/cicadaweir-core/src/membership.rs
@@ -14,7 +14,7 @@
 mod view;
 
 pub use detector::{Detector, Probe};
-pub use dissemination::Dissemination;
+pub use dissemination::{Dissemination, TRANSMISSIONS_PER_LOG};
 pub use id::MemberId;
 pub use member::{Health, ListEntry, Member, MemberUpdate, Phase};
 pub use options::Options;
--- a/crates/cicadaweir-core/src/membership/dissemination.rs
+++ b/crates/cicadaweir-core/src/membership/dissemination.rs
@@ -6,7 +6,7 @@
 
 /// How many times a record is sent, as a multiple of the logarithm of the
 /// number of members.
-const TRANSMISSIONS_PER_LOG: u32 = 2;
+pub const TRANSMISSIONS_PER_LOG: u32 = 2;
 
 /// Records on one message in quiet times.
 const FEW: usize = 6;
--- a/crates/cicadaweir-core/src/node/lookup.rs
+++ b/crates/cicadaweir-core/src/node/lookup.rs
@@ -16,7 +16,7 @@
 const MOST_PACKETS: usize = 4;
 
 /// The most members that are asked about one flow.
-const MOST_ASKED: usize = 8;
+pub(super) const MOST_ASKED: usize = 8;
 
 /// The size of one lookup on the wire, in bytes.
 const LOOKUP_BYTES: f64 = 40.0;
--- a/crates/cicadaweir-core/src/node/placing.rs
+++ b/crates/cicadaweir-core/src/node/placing.rs
@@ -4,12 +4,12 @@
     flow::Protocol,
     hash,
     load::Mark,
-    membership::Phase,
+    membership::{Member, Phase},
     prelude::*,
     route::{Decision, Outlook, Policy, Reason},
 };
 
-use super::{Guard, Node};
+use super::{Guard, Node, lookup::MOST_ASKED};
 
 /// The parts of an arriving packet's flow that decisions need.
 #[derive(Debug, Clone, Copy)]
@@ -96,12 +96,17 @@
         self.place(now, arrival, outlook)
     }
 
-    /// Returns whether a member that ended without leaving may still have
-    /// delivered, or be delivering, datagrams.
+    /// Returns whether a member that was not asked may have delivered, or be
+    /// delivering, datagrams: one that ended without leaving, or one of a
+    /// fleet that is too large for all to be asked.
     fn witness_is_missing(&self, now: Instant) -> bool {
         if !self.guards(Guard::Witness) {
             return false;
         }
+        let heard = |m: &&Member| m.record.incarnation > 0;
+        if self.view.peers().filter(heard).count() > MOST_ASKED {
+            return true;
+        }
         let horizon = self.options.repeat_horizon;
         self.view.iter().any(|m| {
             let gone = !m.reachable() && m.record.phase != Phase::Left;
--- a/crates/cicadaweir-lab/src/capacity.rs
+++ b/crates/cicadaweir-lab/src/capacity.rs
@@ -11,12 +11,17 @@
     flow::Protocol,
     hash::HashKey,
     load::{ProbeResult, Report},
-    membership::{Health, MemberUpdate, Phase},
+    membership::{Health, MemberUpdate, Phase, TRANSMISSIONS_PER_LOG},
     message::{Gossip, Message},
     node::{self, Node, Options},
     prelude::*,
 };
 use cicadaweir_proto::codec;
+use cicadaweir_standins::{
+    site::Site,
+    target::{TargetOptions, TargetServer},
+};
+use cicadaweird::probe;
 
 /// The size of what one daemon knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -294,6 +299,70 @@
     }
 }
 
+/// Times encoding and decoding of a probe that carries six records of each
+/// sort, in microseconds.
+pub fn codec_us() -> f64 {
+    use cicadaweir_core::load::{LoadUpdate, Mark, MarkUpdate};
+    let gossip = Gossip {
+        members: (0..7).map(|id| member(id, 1)).collect(),
+        marks: (0..6)
+            .map(|n| MarkUpdate {
+                target: TargetKey(n),
+                version: 1,
+                mark: Mark::Hot,
+                remote: false,
+            })
+            .collect(),
+        loads: (0..6)
+            .map(|n| LoadUpdate {
+                target: TargetKey(n),
+                version: 1,
+                open: 1_000,
+                pending: 10,
+                rate: 100,
+            })
+            .collect(),
+        ..Gossip::default()
+    };
+    let message = Message::Probe {
+        sequence: 1,
+        gossip,
+    };
+    let mut buf = Vec::new();
+    time(20_000, |_| {
+        buf.clear();
+        codec::encode(MemberId(0), &message, &mut buf);
+        let _ = black_box(codec::decode(&buf));
+    })
+}
+
+/// Times probes of a stand-in target over HTTP, one after the other, in
+/// microseconds; the target's own part is included.
+///
+/// # Errors
+///
+/// The operating system's error if the target can't be started.
+pub fn http_probe_us() -> std::io::Result<f64> {
+    let site = Site {
+        number: 92,
+        entry_vms: 1,
+        zones: 1,
+    };
+    let _target = TargetServer::start(TargetOptions {
+        service: "board".into(),
+        name: "t1".into(),
+        endpoint: site.target(1),
+        entry_vms: Vec::new(),
+        probe: site.load(1),
+        connections: 1,
+        slots: 1,
+    })?;
+    let prober = probe::Prober::default();
+    Ok(time(500, |_| {
+        black_box(prober.probe(site.load(1)));
+    }))
+}
+
 /// Counts the bytes that a daemon sends in ten quiet seconds, its answers to
 /// as many probes as it sends included.
 fn quiet_bytes(bench: &mut Bench) -> f64 {
@@ -332,7 +401,7 @@
         buf.len()
     };
     let record = encoded(vec![member(1, 1), member(2, 2)]) - encoded(vec![member(1, 1)]);
-    let transmissions = 3 * (u32::BITS - bench.size.members.leading_zeros());
+    let transmissions = TRANSMISSIONS_PER_LOG * (u32::BITS - bench.size.members.leading_zeros());
     f64::from(transmissions) * record as f64
 }
 
--- a/crates/cicadaweir-lab/src/main.rs
+++ b/crates/cicadaweir-lab/src/main.rs
@@ -180,6 +180,14 @@
         costs.push((size, c));
     }
     print_slopes(&costs);
+    println!(
+        "codec us      {:>8.2} a message with six records of each sort",
+        capacity::codec_us()
+    );
+    match capacity::http_probe_us() {
+        Ok(us) => println!("HTTP probe us {us:>8.1} with the target's part"),
+        Err(err) => eprintln!("{err}"),
+    }
     ExitCode::SUCCESS
 }
 
--- a/crates/cicadaweir-proto/src/store.rs
+++ b/crates/cicadaweir-proto/src/store.rs
@@ -16,8 +16,8 @@
 /// The key of the head record.
 pub const HEAD_KEY: &str = "cicadaweir/head";
 
-/// How many notes the head names.
-pub const RECENT_NOTES: usize = 2_048;
+/// How many notes the head names; with 35 bytes each it stays below 600 KB.
+pub const RECENT_NOTES: usize = 16_384;
 
 /// The record that names the newest release note.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
--- a/crates/cicadaweir/src/history.rs
+++ b/crates/cicadaweir/src/history.rs
@@ -111,6 +111,13 @@
 /// [`Error`] if the platform does not answer, or a note does not decode or
 /// does not fit.
 pub fn catalog(platform: &impl Platform, head: &Head) -> Result<Catalog, Error> {
+    let forgotten = head.revision.saturating_sub(head.notes.len() as u64);
+    if forgotten > 0 {
+        return Err(Error::Malformed {
+            key: HEAD_KEY.to_owned(),
+            why: format!("it no longer names the first {forgotten} release notes"),
+        });
+    }
     let mut catalog = Catalog::new(placement::Options::default());
     for release in notes_after(platform, head, Revision::default())? {
         catalog.apply(&release).map_err(|err| Error::Malformed {
--- a/crates/cicadaweird/src/probe.rs
+++ b/crates/cicadaweird/src/probe.rs
@@ -52,39 +52,56 @@
 }
 
 fn run(rx: &Mutex<Receiver<(TargetKey, SocketAddr)>>, inbox: &Inbox) {
-    let config = Agent::config_builder()
-        .http_status_as_error(false)
-        .timeout_global(Some(TIMEOUT))
-        .build();
-    let agent: Agent = config.into();
+    let prober = Prober::default();
     loop {
         let next = rx.lock().map(|rx| rx.recv());
         let Ok(Ok((target, addr))) = next else {
             return;
         };
-        let result = probe(&agent, addr);
+        let result = prober.probe(addr);
         if !inbox.send(Input::Probed(target, result)) {
             return;
         }
     }
 }
 
-fn probe(agent: &Agent, addr: SocketAddr) -> ProbeResult {
-    let Ok(mut response) = agent.get(format!("http://{addr}/load")).call() else {
-        return ProbeResult::Silent;
-    };
-    if response.status().as_u16() != 200 {
-        return ProbeResult::Unhealthy;
+/// Probes targets one after the other.
+#[derive(Debug, Clone)]
+pub struct Prober {
+    agent: Agent,
+}
+
+impl Default for Prober {
+    fn default() -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(TIMEOUT))
+            .build();
+        Self {
+            agent: config.into(),
+        }
+    }
+}
+
+impl Prober {
+    /// Asks a target's load endpoint.
+    pub fn probe(&self, addr: SocketAddr) -> ProbeResult {
+        let Ok(mut response) = self.agent.get(format!("http://{addr}/load")).call() else {
+            return ProbeResult::Silent;
+        };
+        if response.status().as_u16() != 200 {
+            return ProbeResult::Unhealthy;
+        }
+        let bytes = response.body_mut().read_to_vec();
+        let body = bytes.ok().and_then(|b| serde_json::from_slice(&b).ok());
+        let Some(body): Option<LoadBody> = body else {
+            return ProbeResult::Unhealthy;
+        };
+        ProbeResult::Healthy(Report {
+            open: body.open,
+            pending: body.pending,
+            completed: body.completed,
+            draining: body.draining,
+        })
     }
-    let bytes = response.body_mut().read_to_vec();
-    let body = bytes.ok().and_then(|b| serde_json::from_slice(&b).ok());
-    let Some(body): Option<LoadBody> = body else {
-        return ProbeResult::Unhealthy;
-    };
-    ProbeResult::Healthy(Report {
-        open: body.open,
-        pending: body.pending,
-        completed: body.completed,
-        draining: body.draining,
-    })
 }
