feat: record traces of one node and replay them against every action

Cause: the users ask for replay of recorded traces against stated outcomes. Left out: recording in the daemon (--record): callers' addresses would have to be replaced without changing their buckets. Conclusion: decisions are pinned event by event.

--- a/crates/cicadaweir-lab/src/main.rs
+++ b/crates/cicadaweir-lab/src/main.rs
@@ -46,6 +46,19 @@
         #[bpaf(argument("FOLDER"), fallback("docs/measurements".to_owned()))]
         out: String,
     },
+    /// Records what one node is told and does, as a trace
+    #[bpaf(command)]
+    Record {
+        /// The scenario
+        #[bpaf(argument("NAME"))]
+        scenario: String,
+        /// The seed
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+        /// The node
+        #[bpaf(argument("N"), fallback(3))]
+        node: usize,
+    },
     /// Times decisions, and the daemon against a bare UDP relay
     #[bpaf(command)]
     Bench {
@@ -98,6 +111,11 @@
             baselines,
         } => scenarios(&only, seeds, baselines),
         Command::Report { seeds, out } => write_report(seeds, &out),
+        Command::Record {
+            scenario,
+            seed,
+            node,
+        } => record(&scenario, seed, node),
         Command::Bench { turns } => bench(turns),
         Command::Guards { only, visits } => guards(&only, visits),
         Command::Fleet => fleet_sizes(),
@@ -346,6 +364,17 @@
     ExitCode::SUCCESS
 }
 
+fn record(name: &str, seed: u64, node: usize) -> ExitCode {
+    let Some(scenario) = all().into_iter().find(|s| s.name == name) else {
+        eprintln!("no scenario {name:?}");
+        return ExitCode::FAILURE;
+    };
+    for line in scenario.record(Deployment::CompasAndino, seed, node) {
+        println!("{line}");
+    }
+    ExitCode::SUCCESS
+}
+
 fn trace(name: &str, deployment: &str, seed: u64, caller: Option<u32>) -> ExitCode {
     let deployment = Deployment::ALL.into_iter().find(|d| d.name() == deployment);
     let scenario = all().into_iter().find(|s| s.name == name);
--- a/crates/cicadaweir-lab/src/scenario/set.rs
+++ b/crates/cicadaweir-lab/src/scenario/set.rs
@@ -14,6 +14,9 @@
 
 use super::{Deployment, Load};
 
+/// How much of a scenario is recorded, in seconds.
+const RECORDED_SECS: u64 = 40;
+
 /// One experiment.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Scenario {
@@ -77,6 +80,25 @@
         self.run_options(options)
     }
 
+    /// Records what one node is told and does, under a small load that keeps
+    /// the trace short.
+    pub fn record(&self, deployment: Deployment, seed: u64, node: usize) -> Vec<String> {
+        let mut options = deployment.options(seed);
+        options.record_node = Some(node);
+        let small = Self {
+            load: Load {
+                boards: 60,
+                visits: 1,
+                bookings: 1,
+                surge: self.load.surge.min(60),
+                ..self.load
+            },
+            run: Duration::from_secs(RECORDED_SECS),
+            ..self.clone()
+        };
+        small.run_options(options).recorded()
+    }
+
     /// Runs the scenario with a guard of the decisions taken away.
     pub fn run_without(&self, guard: Option<Guard>, deployment: Deployment, seed: u64) -> Measures {
         let mut options = deployment.options(seed);
--- a/crates/cicadaweir-lab/src/world.rs
+++ b/crates/cicadaweir-lab/src/world.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod link;
 mod options;
+mod record;
 mod run;
 mod target;
 
--- a/crates/cicadaweir-lab/src/world/act.rs
+++ b/crates/cicadaweir-lab/src/world/act.rs
@@ -1,7 +1,7 @@
 //! What each happening does.
 
 use cicadaweir_core::{membership::Phase, message::Message, node, prelude::*, route::RelayHeader};
-use cicadaweir_proto::codec;
+use cicadaweir_proto::{codec, trace::EventRecord};
 use rand_core::RngCore;
 
 use crate::measure::Invariant;
@@ -129,8 +129,13 @@
         }
         let now = self.now;
         let mut actions = std::mem::take(&mut self.actions);
+        let record = self.options.record_node == Some(at) && self.vms[at].life == 1;
+        let event_record = record.then(|| EventRecord::of(&event));
         if let Some(node) = &mut self.vms[at].node {
             node.handle(now, event, &mut actions);
+            if let (Some(event), Some(recorder)) = (event_record, &mut self.recorder) {
+                recorder.record(now, event, node, &actions);
+            }
         }
         for action in actions.drain(..) {
             self.act(at, action);
--- a/crates/cicadaweir-lab/src/world/options.rs
+++ b/crates/cicadaweir-lab/src/world/options.rs
@@ -36,6 +36,8 @@
     pub loss: f64,
     /// The services.
     pub services: Vec<ServiceOptions>,
+    /// A node whose events and actions are recorded.
+    pub record_node: Option<usize>,
     /// A caller whose packets are printed.
     pub trace_caller: Option<u32>,
     /// The options of every node.
@@ -68,6 +70,7 @@
                     work: Duration::from_millis(10),
                 },
             ],
+            record_node: None,
             trace_caller: None,
             node: node::Options::default(),
         }
--- a/crates/cicadaweir-lab/src/world/run.rs
+++ b/crates/cicadaweir-lab/src/world/run.rs
@@ -19,6 +19,7 @@
 use super::{
     Behaviour, Caller, Happening, Links, Options, Target,
     event::{Packet, Scheduled},
+    record::Recorder,
 };
 
 /// One entry VM of a world.
@@ -66,6 +67,7 @@
     /// What has been measured so far.
     pub measures: Measures,
     pub(super) actions: Vec<Action>,
+    pub(super) recorder: Option<Recorder>,
 }
 
 /// The fleet's key in all experiments.
@@ -97,6 +99,7 @@
             surge_from: None,
             measures: Measures::default(),
             actions: Vec::new(),
+            recorder: None,
             options,
         };
         for at in 0..world.options.entry_vms {
@@ -188,6 +191,10 @@
             address: peer_address(at),
         };
         vm.node = Some(Node::new(self.options.node, HASH_KEY, me, self.now));
+        if self.options.record_node == Some(at) && self.now == Instant::START {
+            self.recorder = Some(Recorder::new(&HASH_KEY, &me));
+        }
+        let vm = &mut self.vms[at];
         let life = vm.life;
         let stagger = self.random.next_u64() % node::TICK.as_micros();
         let list = self.list();
@@ -296,6 +303,11 @@
         self.now = until;
     }
 
+    /// Returns the lines that were recorded.
+    pub fn recorded(self) -> Vec<String> {
+        self.recorder.map(Recorder::finish).unwrap_or_default()
+    }
+
     /// Returns the time.
     pub const fn now(&self) -> Instant {
         self.now
--- a/crates/cicadaweir-proto/src/list.rs
+++ b/crates/cicadaweir-proto/src/list.rs
@@ -36,6 +36,18 @@
     }
 }
 
+impl From<&ListEntry> for ListRecord {
+    fn from(entry: &ListEntry) -> Self {
+        Self {
+            id: entry.id.0,
+            zone: entry.zone.0,
+            peer: entry.address.into(),
+            control: None,
+            leaving: false,
+        }
+    }
+}
+
 /// Reads the list from JSON.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/cicadaweir-proto/src/trace/replay.rs
@@ -0,0 +1,199 @@
+//! Running a trace through a node.
+
+use std::net::SocketAddr;
+
+use cicadaweir_core::{
+    hash::HashKey,
+    membership::{Health, MemberUpdate, Phase},
+    node::{self, Node, Options},
+    packet::PacketKind,
+    prelude::*,
+};
+use indexmap::IndexMap;
+
+use super::{EventRecord, Start, Step, TraceError, flow_text};
+
+/// What a trace came to.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Outcome {
+    /// Events that were replayed.
+    pub events: usize,
+    /// Packets that were forwarded.
+    pub forwarded: usize,
+    /// Flows whose packets were forwarded, each to one target.
+    pub flows: usize,
+}
+
+/// Describes an action in a few words; targets by name, members by number.
+pub fn describe(node: &Node, action: &Action) -> String {
+    match action {
+        Action::Forward { target, .. } => {
+            format!("forward {}", node.catalog().target(*target).spec.name)
+        }
+        Action::Relay { to, header, .. } => format!("relay {to} hop {}", header.hops),
+        Action::ToCaller { .. } => "to caller".to_owned(),
+        Action::Hold { .. } => "hold".to_owned(),
+        Action::Discard { kind, .. } => format!("discard {kind}"),
+        Action::Refuse { kind, .. } => format!("refuse {kind}"),
+        Action::ResetCaller { .. } => "reset caller".to_owned(),
+        Action::Send { to, message } => format!("send {to} {}", message.kind().name()),
+        Action::ProbeTarget { target } => {
+            format!("probe {}", node.catalog().target(*target).spec.name)
+        }
+        Action::WatchStore { on } => format!("watch {on}"),
+        Action::InForce { revision } => format!("in force {revision}"),
+        Action::EnteredPhase { phase } => format!("phase {phase:?}").to_lowercase(),
+    }
+}
+
+/// Replays a trace and compares every action; checks that the packets of each
+/// flow are forwarded to one target, from one opening to the next, or else to
+/// the one that answered.
+///
+/// # Errors
+///
+/// [`TraceError`] for the first line that does not parse or departs.
+pub fn replay(text: &str) -> Result<Outcome, TraceError> {
+    let mut lines = (1..).zip(text.lines());
+    let (_, first) = lines.next().ok_or(TraceError::Line {
+        line: 1,
+        why: "the trace is empty".to_owned(),
+    })?;
+    let mut player = Player::new(&parse(1, first)?)?;
+    for (line, text) in lines {
+        let step: Step = parse(line, text)?;
+        player.step(line, &step)?;
+    }
+    player.outcome.flows = player.targets.len();
+    Ok(player.outcome)
+}
+
+fn parse<T: serde::de::DeserializeOwned>(line: usize, text: &str) -> Result<T, TraceError> {
+    serde_json::from_str(text).map_err(|err| TraceError::Line {
+        line,
+        why: err.to_string(),
+    })
+}
+
+struct Player {
+    node: Node,
+    outcome: Outcome,
+    targets: IndexMap<String, String>,
+}
+
+impl Player {
+    fn new(start: &Start) -> Result<Self, TraceError> {
+        let wrong = || TraceError::Line {
+            line: 1,
+            why: format!("hash_key {:?} is not 32 hexadecimal digits", start.hash_key),
+        };
+        let key = u128::from_str_radix(&start.hash_key, 16).map_err(|_| wrong())?;
+        let me = MemberUpdate {
+            id: MemberId(start.member),
+            incarnation: start.incarnation,
+            phase: Phase::Joining,
+            health: Health::Alive,
+            zone: ZoneId(start.zone),
+            address: start.peer.into(),
+        };
+        let key = HashKey(key.to_be_bytes());
+        Ok(Self {
+            node: Node::new(Options::default(), key, me, Instant::START),
+            outcome: Outcome::default(),
+            targets: IndexMap::new(),
+        })
+    }
+
+    fn step(&mut self, line: usize, step: &Step) -> Result<(), TraceError> {
+        let wrong = |why| TraceError::Line { line, why };
+        let mut at = Instant::from_micros(step.at);
+        let mut out = Vec::new();
+        let mut found = Vec::new();
+        if let EventRecord::Ticks(count) = step.event {
+            let back = node::TICK.times(u64::from(count.saturating_sub(1)));
+            at = at - back;
+            for _ in 0..count {
+                self.node.handle(at, Event::Tick, &mut out);
+                found.extend(out.drain(..).map(|a| describe(&self.node, &a)));
+                at += node::TICK;
+            }
+        } else {
+            let event = step.event.event().map_err(wrong)?;
+            self.node.handle(at, event.clone(), &mut out);
+            found.extend(out.iter().map(|a| describe(&self.node, a)));
+            self.check_flow(line, &event, &found)?;
+        }
+        self.outcome.events += 1;
+        if found != step.actions {
+            return Err(TraceError::Departed {
+                line,
+                event: format!("{:?}", step.event),
+                expected: step.actions.clone(),
+                found,
+            });
+        }
+        Ok(())
+    }
+
+    fn check_flow(
+        &mut self,
+        line: usize,
+        event: &Event,
+        found: &[String],
+    ) -> Result<(), TraceError> {
+        if let Event::FromTarget { info, from, .. } = event {
+            self.note_answer(info, from);
+        }
+        let (Event::FromCaller { info, .. } | Event::Relayed { info, .. }) = event else {
+            return Ok(());
+        };
+        let flow = flow_text(&info.flow);
+        if matches!(info.kind, PacketKind::Opening | PacketKind::Reset) {
+            self.targets.swap_remove(&flow);
+        }
+        let forwarded = found.iter().find_map(|a| a.strip_prefix("forward "));
+        let Some(to) = forwarded else {
+            return Ok(());
+        };
+        self.outcome.forwarded += 1;
+        let from = self.targets.insert(flow.clone(), to.to_owned());
+        match from {
+            Some(from) if from != to => Err(TraceError::Moved {
+                line,
+                flow,
+                from,
+                to: to.to_owned(),
+            }),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl Player {
+    /// The target that answers for a flow is the flow's: packets go there from
+    /// now on, wherever this node sent them before it knew.
+    fn note_answer(&mut self, info: &PacketInfo, from: &Endpoint) {
+        if info.kind == PacketKind::Reset {
+            return;
+        }
+        let mut targets = self.node.catalog().targets();
+        let answering = targets.find(|(_, t)| t.spec.endpoint.ip == from.ip);
+        if let Some((_, target)) = answering {
+            let name = target.spec.name.clone();
+            self.targets.insert(flow_text(&info.flow), name);
+        }
+    }
+}
+
+impl Start {
+    /// Makes the first line of a trace.
+    pub fn new(key: &HashKey, me: &MemberUpdate) -> Self {
+        Self {
+            member: me.id.0,
+            zone: me.zone.0,
+            incarnation: me.incarnation,
+            hash_key: format!("{:032x}", u128::from_be_bytes(key.0)),
+            peer: SocketAddr::from(me.address),
+        }
+    }
+}
--- a/crates/cicadaweir/src/arguments.rs
+++ b/crates/cicadaweir/src/arguments.rs
@@ -80,6 +80,13 @@
         #[bpaf(positional("FLOW"))]
         flow: String,
     },
+    /// Runs recorded traces through the core and compares every action
+    #[bpaf(command)]
+    Replay {
+        /// The traces
+        #[bpaf(positional("FILE"), some("no trace is named"))]
+        files: Vec<String>,
+    },
     /// Runs the main job on one machine, under failure
     #[bpaf(command)]
     Demo {
--- a/crates/cicadaweir/src/commands.rs
+++ b/crates/cicadaweir/src/commands.rs
@@ -17,7 +17,7 @@
     catalog::{NoteId, ReleaseNote, Revision},
     error::ErrorKind,
 };
-use cicadaweir_proto::note;
+use cicadaweir_proto::{note, trace};
 use cicadaweird::platform::{HttpPlatform, Platform};
 
 use crate::arguments::{Arguments, Command};
@@ -77,6 +77,7 @@
         Command::Flows => fleet(&platform).map(|f| (report::flows(&f.status()), 0)),
         Command::Drain { member } => drain(&platform, member),
         Command::Explain { flow } => explain(&platform, &flow),
+        Command::Replay { files } => replay(&files),
         Command::Demo {
             boards,
             surge,
@@ -218,7 +219,7 @@
 }
 
 fn explain(platform: &HttpPlatform, flow: &str) -> Result<(Report, u8), Failure> {
-    if cicadaweird::control::parse_flow(flow).is_none() {
+    if trace::parse_flow(flow).is_none() {
         return Err(Failure::other(format!(
             "flow {flow:?}: allowed is tcp,CALLER_IP:PORT,SERVICE_IP:PORT or udp,..."
         )));
@@ -226,6 +227,25 @@
     Ok((report::explain(&fleet(platform)?.explain(flow)), 0))
 }
 
+/// Replays traces; the first that departs ends it.
+fn replay(files: &[String]) -> Result<(Report, u8), Failure> {
+    let mut lines = Vec::new();
+    for path in files {
+        let text = std::fs::read_to_string(path)
+            .map_err(|err| Failure::other(format!("{path}: {err}")))?;
+        let outcome = trace::replay(&text).map_err(|err| Failure {
+            code: exit::INVARIANT,
+            why: format!("{path}: {err}"),
+        })?;
+        lines.push(format!(
+            "{path}: {} events, {} packets forwarded, {} flows, each to one target",
+            outcome.events, outcome.forwarded, outcome.flows
+        ));
+    }
+    let json = serde_json::json!({ "replayed": files });
+    Ok((Report::new(&lines, json), 0))
+}
+
 fn run_demo(boards: u32, surge: u32, step: u64) -> Result<(Report, u8), Failure> {
     let options = demo::Options {
         boards,
--- a/crates/cicadaweird/src/control.rs
+++ b/crates/cicadaweird/src/control.rs
@@ -16,7 +16,8 @@
     time::Duration,
 };
 
-use cicadaweir_core::flow::{Endpoint, FlowKey, Protocol};
+use cicadaweir_core::flow::FlowKey;
+use cicadaweir_proto::trace;
 use tiny_http::{Method, Request, Response, Server};
 
 pub use body::{ExplainBody, MemberBody, StatusBody, TargetBody};
@@ -84,10 +85,12 @@
         (Method::Post, "/leave") => Ok(Query::Leave),
         (Method::Get, "/explain") => {
             let text = arguments.strip_prefix("flow=").unwrap_or_default();
-            parse_flow(text).map(Query::Explain).ok_or_else(|| Reply {
-                code: 400,
-                body: format!("{{\"error\":\"flow {text:?} is not PROTOCOL,CALLER,ADDRESS\"}}"),
-            })
+            trace::parse_flow(text)
+                .map(Query::Explain)
+                .ok_or_else(|| Reply {
+                    code: 400,
+                    body: format!("{{\"error\":\"flow {text:?} is not PROTOCOL,CALLER,ADDRESS\"}}"),
+                })
         }
         _ => Err(Reply {
             code: 404,
@@ -96,26 +99,6 @@
     }
 }
 
-/// Reads `tcp,CALLER_IP:PORT,SERVICE_IP:PORT`.
-pub fn parse_flow(text: &str) -> Option<FlowKey> {
-    let mut parts = text.split(',');
-    let protocol = match parts.next()? {
-        "tcp" => Protocol::Tcp,
-        "udp" => Protocol::Udp,
-        _ => return None,
-    };
-    let mut endpoint = || -> Option<Endpoint> {
-        let address: SocketAddr = parts.next()?.parse().ok()?;
-        Some(address.into())
-    };
-    let flow = FlowKey {
-        protocol,
-        caller: endpoint()?,
-        address: endpoint()?,
-    };
-    parts.next().is_none().then_some(flow)
-}
-
 fn ask(query: Query, inbox: &Inbox) -> Reply {
     let (tx, rx) = channel();
     let sent = inbox.send(Input::Query(query, tx));
