fix: reset silent flows in time, and refuse nothing while a member is missing

Change: a target that was never seen has been silent for ever; a suspicion needs unanswered data in another zone too, and rests while a member is missing; refusals rest while a member is missing. Ruled out: a shorter silence than 10 s (targets that answer slowly acknowledge at once, but members are taken for dead only after 1.5 to 2.4 s).

--- a/crates/cicadaweir-core/src/flow/table.rs
+++ b/crates/cicadaweir-core/src/flow/table.rs
@@ -18,6 +18,9 @@
 /// The unit in which entries hold the times of their last packets.
 pub(super) const TICK: Duration = Duration::from_millis(100);
 
+/// The silence of a target that was never seen.
+const NEVER_SEEN: Duration = Duration::from_secs(u32::MAX as u64 / 1_000);
+
 /// How lately a caller that still repeats a segment sent its last copy.
 const STILL_REPEATING: Duration = Duration::from_secs(6);
 
@@ -287,18 +290,22 @@
         TICK.times(u64::from(ticks(now).saturating_sub(seen)))
     }
 
-    /// Returns for how long the caller has repeated one segment here without
-    /// an answer that passed here, from its first copy to its last; `None` if
-    /// it has not, or has stopped.
+    /// Returns how long ago the caller sent the segment that it has repeated
+    /// since without an answer that passed here; `None` if it has not repeated
+    /// one, or has stopped.
     pub fn repeated_for(entry: &FlowEntry, now: Instant) -> Option<Duration> {
         let repeated = entry.flags.contains(FlowFlags::REPEATED);
         let last = TICK.times(u64::from(ticks(now).saturating_sub(entry.caller_seen)));
-        let span = (entry.caller_seen as u16).wrapping_sub(entry.asked);
-        (repeated && last <= STILL_REPEATING).then(|| TICK.times(u64::from(span)))
+        let waited = (ticks(now) as u16).wrapping_sub(entry.asked);
+        (repeated && last <= STILL_REPEATING).then(|| TICK.times(u64::from(waited)))
     }
 
-    /// Returns how long no packet of the target has passed here.
+    /// Returns how long no packet of the target has passed here; of a flow
+    /// whose target was never seen here, the longest time there is.
     pub fn target_silence(entry: &FlowEntry, now: Instant) -> Duration {
+        if !entry.flags.contains(FlowFlags::ANSWERED) {
+            return NEVER_SEEN;
+        }
         TICK.times(u64::from(ticks(now).saturating_sub(entry.target_seen)))
     }
 
--- a/crates/cicadaweir-core/src/message.rs
+++ b/crates/cicadaweir-core/src/message.rs
@@ -42,6 +42,8 @@
     pub target: TargetKey,
     /// How long ago the target's last packet passed the member.
     pub target_silence: Duration,
+    /// Whether the caller's last data passed the member, and no answer since.
+    pub unanswered: bool,
 }
 
 /// A message between two entry VMs.
--- a/crates/cicadaweir-core/src/node/lookup.rs
+++ b/crates/cicadaweir-core/src/node/lookup.rs
@@ -3,7 +3,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::{
-    flow::Protocol,
+    flow::{FlowFlags, FlowTable, Protocol},
     membership::slot_of,
     message::{FlowMemory, Message},
     prelude::*,
@@ -141,13 +141,15 @@
         if let Some(entry) = self.flows.get_by_hash(flow_hash) {
             return Some(FlowMemory {
                 target: entry.target,
-                target_silence: crate::flow::FlowTable::target_silence(entry, now),
+                target_silence: FlowTable::target_silence(entry, now),
+                unanswered: entry.flags.contains(FlowFlags::ASKED),
             });
         }
         let target = self.recovery.handed_over(flow_hash)?;
         Some(FlowMemory {
             target,
             target_silence: self.options.expiry.established,
+            unanswered: false,
         })
     }
 
--- a/crates/cicadaweir-core/src/node/packets.rs
+++ b/crates/cicadaweir-core/src/node/packets.rs
@@ -54,7 +54,7 @@
     }
 
     /// Returns whether a member vanished a short while ago.
-    fn member_is_missing(&self, now: Instant) -> bool {
+    pub(super) fn member_is_missing(&self, now: Instant) -> bool {
         self.view.iter().any(|m| {
             let gone = !m.reachable() && m.record.phase != Phase::Left;
             gone && now.since(m.since) < DOUBT
--- a/crates/cicadaweir-core/src/node/placing.rs
+++ b/crates/cicadaweir-core/src/node/placing.rs
@@ -68,7 +68,7 @@
         let primary = outlook.in_force;
         let target = self.choose(now, arrival, primary);
         let Some(target) = target else {
-            return Decision::Error(ErrorKind::NoTarget);
+            return Decision::Error(self.kind_without_target(now, primary));
         };
         if let Some(kind) = self.refusal(now, arrival, target) {
             return Decision::Error(kind);
@@ -81,6 +81,19 @@
         }
     }
 
+    /// All targets are down: the flow is refused once this is so for longer
+    /// than callers wait before they repeat an opening, and deferred until
+    /// then, or while a member is missing that may see targets up.
+    fn kind_without_target(&self, now: Instant, primary: TargetKey) -> ErrorKind {
+        let down_since = self.targets[primary.0 as usize].marked_since;
+        let settled = now.since(down_since) >= self.options.load.refuse_after;
+        if settled && !self.member_is_missing(now) {
+            ErrorKind::NoTarget
+        } else {
+            ErrorKind::Deferred
+        }
+    }
+
     /// Places a datagram that no reachable member remembers. An unreachable
     /// one may have delivered it: that does not matter while every member
     /// would have chosen the same target, and is left unanswered otherwise.
@@ -192,12 +205,14 @@
 
     /// Returns whether nothing of an unknown flow can have been delivered to
     /// a full target: its openings have passed through their owners for
-    /// longer than callers wait before they repeat one.
+    /// longer than callers wait before they repeat one, and no member is
+    /// missing that may have delivered one all the same.
     fn may_refuse(&self, now: Instant, target: TargetKey) -> bool {
         let state = &self.targets[target.0 as usize];
         let known_for = now.since(state.marked_since);
         let mark = self.catalog.target(target).mark;
-        mark == Mark::Hot && known_for >= self.options.load.refuse_after
+        let settled = mark == Mark::Hot && known_for >= self.options.load.refuse_after;
+        settled && !self.member_is_missing(now)
     }
 
     /// Places a flow as one of the baselines would.
--- a/crates/cicadaweir-core/src/node/silence.rs
+++ b/crates/cicadaweir-core/src/node/silence.rs
@@ -4,8 +4,11 @@
 //! answer here proves nothing. It suspects a flow whose caller has repeated
 //! one segment (the same sequence number twice) for [`REPEATING`]; it then
 //! asks the others, and resets the flow towards its caller only if none has
-//! seen the target for [`super::Options::silence`], nor since that segment,
-//! while the target answers new openings. A live target acknowledges a segment
+//! seen the target for [`super::Options::silence`], nor since that segment, and
+//! a member of another zone has seen unanswered data too (or else this zone's
+//! own way to the target may be cut),
+//! while the target answers new openings and no member is missing that might
+//! have seen it, or whose zone the target might be cut off with. A live target acknowledges a segment
 //! at once, however long its answer takes. A quiet flow whose caller sends
 //! nothing is never touched.
 
@@ -40,6 +43,8 @@
     target: TargetKey,
     /// When the caller first sent what is unanswered.
     sent: Instant,
+    /// Whether a member of another zone has seen unanswered data too.
+    confirmed: bool,
     asked: IndexSet<MemberId>,
     since: Instant,
 }
@@ -53,6 +58,9 @@
         self.lookups
             .broken
             .retain(|_, (_, at)| now.since(*at) < BROKEN_KEPT);
+        if self.member_is_missing(now) {
+            return;
+        }
         let positions = self.flows.positions();
         let start = self.random_start(now, positions);
         let silence = self.options.silence;
@@ -107,6 +115,7 @@
         let suspicion = Suspicion {
             target,
             sent,
+            confirmed: !self.has_other_zones(),
             asked,
             since: now,
         };
@@ -124,9 +133,11 @@
         memory: Option<FlowMemory>,
         out: &mut Vec<Action>,
     ) {
+        let elsewhere = self.is_of_another_zone(from);
         let Some(suspicion) = self.lookups.suspicions.get_mut(&flow_hash) else {
             return;
         };
+        suspicion.confirmed |= elsewhere && memory.is_some_and(|m| m.unanswered);
         let since = now.since(suspicion.sent).max(self.options.silence);
         let same = |m: &FlowMemory| m.target == suspicion.target;
         if memory
@@ -138,11 +149,24 @@
             return;
         }
         suspicion.asked.swap_remove(&from);
-        if suspicion.asked.is_empty() {
+        if suspicion.asked.is_empty() && !suspicion.confirmed {
+            self.lookups.suspicions.swap_remove(&flow_hash);
+        } else if suspicion.asked.is_empty() {
             self.reset_silent(now, flow_hash, out);
         }
     }
 
+    fn is_of_another_zone(&self, id: MemberId) -> bool {
+        let mine = self.view.my_record().zone;
+        self.view.get(id).is_some_and(|m| m.record.zone != mine)
+    }
+
+    fn has_other_zones(&self) -> bool {
+        self.view
+            .peers()
+            .any(|m| self.is_of_another_zone(m.record.id))
+    }
+
     /// Another member has seen the target: the count starts again.
     fn excuse(&mut self, now: Instant, flow_hash: u64) {
         if let Some(entry) = self.flows.get_by_hash_mut(flow_hash) {
--- a/crates/cicadaweir-core/tests/routing.rs
+++ b/crates/cicadaweir-core/tests/routing.rs
@@ -256,6 +256,7 @@
     let memory = Some(FlowMemory {
         target,
         target_silence: Duration::ZERO,
+        unanswered: false,
     });
     let out = driver.message(from.0, Message::LookupAnswer { flow_hash, memory });
     assert_eq!(driver.forwarded(&out), Some(base));
--- a/crates/cicadaweir-lab/src/main.rs
+++ b/crates/cicadaweir-lab/src/main.rs
@@ -9,7 +9,7 @@
 };
 
 use bpaf::Bpaf;
-use cicadaweir_core::{node::Guard, route::Policy};
+use cicadaweir_core::{node::Guard, route::Policy, time::Duration};
 use cicadaweir_lab::{
     capacity::{self, Cost, Size},
     decisions, fleet,
@@ -506,4 +506,21 @@
         100.0 * row.good_part(),
         m.broken_invariants,
     );
+    if !m.silence.is_empty() {
+        println!("{}", silence_line(&m.silence));
+    }
+}
+
+/// Describes how long silent flows took to be reset.
+fn silence_line(times: &[Duration]) -> String {
+    let mut times = times.to_vec();
+    times.sort_unstable();
+    let part = |p: usize| times[(times.len() - 1) * p / 100].as_secs_f64();
+    format!(
+        "  {} silent flows reset; after the first unanswered segment: half within {:.1} s, nine in ten within {:.1} s, all within {:.1} s",
+        times.len(),
+        part(50),
+        part(90),
+        part(100)
+    )
 }
--- a/crates/cicadaweir-proto/schema/peer.capnp
+++ b/crates/cicadaweir-proto/schema/peer.capnp
@@ -61,7 +61,7 @@
     exceptionsWanted :group { slots @17 :List(UInt16); takeOver @27 :Bool; }
     exceptions :group { flows @18 :List(Exception); last @19 :Bool; tookOver @28 :Bool; }
     lookup :group { flowHash @20 :UInt64; }
-    lookupAnswer :group { hash @21 :UInt64; found @22 :Bool; target @23 :UInt32; silenceMs @24 :UInt32; }
+    lookupAnswer :group { hash @21 :UInt64; found @22 :Bool; target @23 :UInt32; silenceMs @24 :UInt32; unanswered @33 :Bool; }
     broken :group { broken @25 :UInt64; silent @26 :UInt32; }
     revisions :group { newest @29 :UInt64; inForce @30 :UInt64; }
     marks :group { urgent @31 :List(Mark); }
--- a/crates/cicadaweir-proto/src/codec/decode.rs
+++ b/crates/cicadaweir-proto/src/codec/decode.rs
@@ -110,6 +110,7 @@
             memory: r.get_found().then(|| FlowMemory {
                 target: TargetKey(r.get_target()),
                 target_silence: Duration::from_millis(u64::from(r.get_silence_ms())),
+                unanswered: r.get_unanswered(),
             }),
         },
     })
--- a/crates/cicadaweir-proto/src/codec/encode.rs
+++ b/crates/cicadaweir-proto/src/codec/encode.rs
@@ -115,10 +115,12 @@
             if let Some(FlowMemory {
                 target,
                 target_silence,
+                unanswered,
             }) = memory
             {
                 b.set_found(true);
                 b.set_target(target.0);
+                b.set_unanswered(*unanswered);
                 b.set_silence_ms(target_silence.as_millis().min(u64::from(u32::MAX)) as u32);
             }
         }
--- a/crates/cicadaweir-proto/src/peer_capnp.rs
+++ b/crates/cicadaweir-proto/src/peer_capnp.rs
@@ -2104,6 +2104,7 @@
             self.builder.set_bool_field(128, false);
             self.builder.set_data_field::<u32>(5, 0u32);
             self.builder.set_data_field::<u32>(6, 0u32);
+            self.builder.set_bool_field(129, false);
             self.builder.into()
         }
         #[inline]
@@ -5100,6 +5101,10 @@
             pub fn get_silence_ms(self) -> u32 {
                 self.reader.get_data_field::<u32>(6)
             }
+            #[inline]
+            pub fn get_unanswered(self) -> bool {
+                self.reader.get_bool_field(129)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -5186,6 +5191,14 @@
             pub fn set_silence_ms(&mut self, value: u32)  {
                 self.builder.set_data_field::<u32>(6, value);
             }
+            #[inline]
+            pub fn get_unanswered(self) -> bool {
+                self.builder.get_bool_field(129)
+            }
+            #[inline]
+            pub fn set_unanswered(&mut self, value: bool)  {
+                self.builder.set_bool_field(129, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5197,7 +5210,7 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 95] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(66, 92, 163, 168, 255, 221, 59, 145),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
@@ -5207,7 +5220,7 @@
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -5215,35 +5228,42 @@
                 ::capnp::word(111, 112, 101, 46, 108, 111, 111, 107),
                 ::capnp::word(117, 112, 65, 110, 115, 119, 101, 114),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 128, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(137, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 129, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 33, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(145, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(104, 97, 115, 104, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5277,6 +5297,15 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(117, 110, 97, 110, 115, 119, 101, 114),
+                ::capnp::word(101, 100, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -5284,6 +5313,7 @@
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5297,9 +5327,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,3,2];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,3,2,4];
             pub(crate) const TYPE_ID: u64 = 0x913b_ddff_a8a3_5c42;
         }
     }
--- a/crates/cicadaweir-proto/tests/decoders.rs
+++ b/crates/cicadaweir-proto/tests/decoders.rs
@@ -124,6 +124,7 @@
             memory: Some(FlowMemory {
                 target: TargetKey(5),
                 target_silence: Duration::from_millis(6),
+                unanswered: true,
             }),
         },
         Message::LookupAnswer {
