--- a/crates/cicadaweir-core/src/node/members.rs
+++ b/crates/cicadaweir-core/src/node/members.rs
@@ -8,7 +8,7 @@
     prelude::*,
 };
 
-use super::{Guard, Node};
+use super::Node;
 
 /// The most marks, and the most loads, that ride on one message.
 const MOST_NEWS: usize = 6;
@@ -22,9 +22,6 @@
 /// The time between two looks at every member.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(50);
 
-/// How long a newcomer waits for exceptions before it takes its share.
-const JOIN_LIMIT: Duration = Duration::from_secs(3);
-
 /// Another member's request to probe a third.
 #[derive(Debug, Clone, Copy)]
 struct Errand {
@@ -50,8 +47,8 @@
     last_answer: Option<MemberId>,
     last_heard: Option<Instant>,
     next_review: Instant,
-    leave_deadline: Option<Instant>,
-    left_at: Option<Instant>,
+    pub leave_deadline: Option<Instant>,
+    pub left_at: Option<Instant>,
 }
 
 impl Node {
@@ -130,7 +127,7 @@
 
     /// Builds the news for a message to a member. A member that is taken for
     /// suspect or dead is told so, so that it can refute.
-    fn gossip_for(&mut self, to: MemberId) -> Gossip {
+    pub(super) fn gossip_for(&mut self, to: MemberId) -> Gossip {
         let mut members = vec![*self.view.my_record()];
         if let Some(member) = self.view.get(to) {
             if member.record.health != Health::Alive {
@@ -148,7 +145,13 @@
         }
     }
 
-    fn hear(&mut self, now: Instant, from: MemberId, gossip: Gossip, out: &mut Vec<Action>) {
+    pub(super) fn hear(
+        &mut self,
+        now: Instant,
+        from: MemberId,
+        gossip: Gossip,
+        out: &mut Vec<Action>,
+    ) {
         let mut changed = false;
         self.note_reunion(from);
         for update in &gossip.members {
@@ -171,12 +174,12 @@
 
     /// A member that was taken for dead speaks: others may have come back
     /// with it, as after a cut between regions.
-    fn note_reunion(&mut self, from: MemberId) {
+    pub(super) fn note_reunion(&mut self, from: MemberId) {
         let was_dead = self.view.get(from).is_some_and(|m| !m.reachable());
         self.relations.wants_members |= was_dead;
     }
 
-    fn ask_members(&mut self, now: Instant, out: &mut Vec<Action>) {
+    pub(super) fn ask_members(&mut self, now: Instant, out: &mut Vec<Action>) {
         let Some(from) = self.relations.last_answer else {
             return;
         };
@@ -187,7 +190,7 @@
 
     /// Asks for all members again after a reunion, or while the platform
     /// lists members that nobody has mentioned yet.
-    fn refresh_list(&mut self, now: Instant, out: &mut Vec<Action>) {
+    pub(super) fn refresh_list(&mut self, now: Instant, out: &mut Vec<Action>) {
         let asked = self.relations.members_asked;
         if asked.is_some_and(|at| now.since(at) < MEMBERS_INTERVAL) {
             return;
@@ -199,7 +202,7 @@
     }
 
     /// Merges one record; returns whether the view changed.
-    fn merge(&mut self, now: Instant, update: &MemberUpdate) -> bool {
+    pub(super) fn merge(&mut self, now: Instant, update: &MemberUpdate) -> bool {
         match self.view.merge(update, now) {
             Change::None => false,
             Change::News => {
@@ -214,7 +217,12 @@
         }
     }
 
-    fn probe_answered(&mut self, member: MemberId, sequence: u32, out: &mut Vec<Action>) {
+    pub(super) fn probe_answered(
+        &mut self,
+        member: MemberId,
+        sequence: u32,
+        out: &mut Vec<Action>,
+    ) {
         self.detector.answered(member, sequence);
         let Some(errand) = self.relations.errands.swap_remove(&(member, sequence)) else {
             return;
@@ -230,7 +238,7 @@
 
     /// Probes a third member for another one. Sequence numbers of errands
     /// have the top bit, so that they never meet the detector's own.
-    fn run_errand(
+    pub(super) fn run_errand(
         &mut self,
         now: Instant,
         requester: MemberId,
@@ -255,7 +263,7 @@
         self.send(member, probe, out);
     }
 
-    fn send_members(&mut self, to: MemberId, start: u32, out: &mut Vec<Action>) {
+    pub(super) fn send_members(&mut self, to: MemberId, start: u32, out: &mut Vec<Action>) {
         let known = |m: &&Member| m.record.incarnation > 0;
         let mut rest = self.view.iter().filter(known).skip(start as usize);
         let members: Vec<MemberUpdate> =
@@ -270,7 +278,7 @@
         self.send(to, page, out);
     }
 
-    fn members_page(
+    pub(super) fn members_page(
         &mut self,
         now: Instant,
         from: MemberId,
@@ -310,7 +318,7 @@
     }
 
     /// Does what takes a look at every member.
-    fn review_members(&mut self, now: Instant, out: &mut Vec<Action>) {
+    pub(super) fn review_members(&mut self, now: Instant, out: &mut Vec<Action>) {
         let news = self.detector.judge(now, &mut self.view);
         for update in &news {
             self.dissemination.push(*update, self.view.len());
@@ -329,7 +337,12 @@
         self.update_watch(out);
     }
 
-    fn ask_helpers(&mut self, probe: &Probe, helpers: &[MemberId], out: &mut Vec<Action>) {
+    pub(super) fn ask_helpers(
+        &mut self,
+        probe: &Probe,
+        helpers: &[MemberId],
+        out: &mut Vec<Action>,
+    ) {
         for &helper in helpers {
             let errand = Message::ProbeFor {
                 member: probe.member,
@@ -366,132 +379,12 @@
         self.acquire(now, gained);
         self.refresh_probing(now);
     }
-
-    /// After a pause, what this member knows may be old: it chooses nothing
-    /// until another member has answered.
-    pub(super) fn resume_after_pause(&mut self, now: Instant) {
-        if self.guards(Guard::Behind) {
-            self.behind_since = Some(now);
-        }
-        self.detector.forget_open_probes();
-    }
-
-    fn leave_behind_state(&mut self, now: Instant) {
-        let current = self.notes_asked.is_none();
-        if self.behind_since.is_some() && current {
-            self.behind_since = None;
-            self.refresh_members(now);
-        }
-    }
-
-    /// An entry VM that nobody answers serves by what it knows.
-    fn end_isolation(&mut self, now: Instant) {
-        let Some(since) = self.behind_since else {
-            return;
-        };
-        let alone = self.view.peers().next().is_none();
-        let waited = now.since(since) >= self.options.isolation;
-        let has_catalog = self.catalog.revision() > Revision::default();
-        if has_catalog && (waited || alone) {
-            self.behind_since = None;
-            self.refresh_members(now);
-        }
-    }
-
-    /// Starts over as a joining member after the others had taken this one
-    /// for dead: its buckets have other owners now.
-    fn rejoin(&mut self, now: Instant) {
-        if matches!(self.phase(), Phase::Active | Phase::Joining) {
-            self.started = now;
-            self.set_phase(now, Phase::Joining);
-            self.recovery.forget_lost();
-        }
-    }
-
-    fn set_phase(&mut self, now: Instant, phase: Phase) {
-        let record = self.view.set_phase(phase);
-        self.dissemination.push(record, self.view.len());
-        self.refresh_members(now);
-    }
-
-    fn advance_phase(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let next = match self.phase() {
-            Phase::Joining if self.may_activate(now) => Phase::Active,
-            Phase::Leaving if self.may_leave(now) => Phase::Left,
-            _ => return,
-        };
-        if next == Phase::Left {
-            self.relations.left_at = Some(now);
-        }
-        self.set_phase(now, next);
-        out.push(Action::EnteredPhase { phase: next });
-    }
-
-    /// Returns whether this member has left for so long that those who took
-    /// its slots over need it no more.
-    pub fn is_dispensable(&self, now: Instant) -> bool {
-        let left = self.relations.left_at;
-        left.is_some_and(|at| now.since(at) >= TAKE_OVER_WAIT)
-    }
-
-    fn may_activate(&self, now: Instant) -> bool {
-        if self.behind_since.is_some() || self.catalog.revision() == Revision::default() {
-            return false;
-        }
-        !self.recovery.is_fetching() || now.since(self.started) >= JOIN_LIMIT
-    }
-
-    fn may_leave(&self, now: Instant) -> bool {
-        let Some(deadline) = self.relations.leave_deadline else {
-            return false;
-        };
-        let announced = now + self.options.leave_limit >= deadline + LEAVE_ANNOUNCE;
-        now >= deadline || (announced && self.successors_are_served())
-    }
-
-    pub(super) fn leave(&mut self, now: Instant, out: &mut Vec<Action>) {
-        if matches!(self.phase(), Phase::Leaving | Phase::Left) {
-            return;
-        }
-        self.relations.leave_deadline = Some(now + self.options.leave_limit);
-        self.set_phase(now, Phase::Leaving);
-        out.push(Action::EnteredPhase {
-            phase: Phase::Leaving,
-        });
-    }
-
-    /// Decides whether this member is among the few of its zone that watch
-    /// the store.
-    fn update_watch(&mut self, out: &mut Vec<Action>) {
-        let on = self.watches();
-        if on != self.watching {
-            self.watching = on;
-            out.push(Action::WatchStore { on });
-        }
-    }
-
-    fn watches(&self) -> bool {
-        let me = self.view.my_record();
-        let before_me = self
-            .view
-            .peers()
-            .filter(|m| m.record.zone == me.zone && m.record.incarnation > 0)
-            .filter(|m| m.record.health == Health::Alive && m.record.id < me.id)
-            .count();
-        before_me < self.options.watchers_per_zone
-    }
 }
 
-/// How long a member that has left answers those who take its slots over.
-const TAKE_OVER_WAIT: Duration = Duration::from_millis(2_500);
-
-/// How long a planned stop is known before ownership may move.
-const LEAVE_ANNOUNCE: Duration = Duration::from_millis(1_000);
-
 impl Relations {
     /// Returns whether this member has not heard the others since it became
     /// behind.
-    fn is_cut_off(&self, behind_since: Option<Instant>) -> bool {
+    pub(super) fn is_cut_off(&self, behind_since: Option<Instant>) -> bool {
         behind_since.is_some_and(|since| self.last_heard.is_none_or(|heard| heard < since))
     }
 }
--- /dev/null
+++ b/crates/cicadaweir-core/src/node/owners.rs
@@ -0,0 +1,51 @@
+//! Who decides for a slot at this moment.
+
+use crate::prelude::*;
+
+use super::{
+    Guard, Node,
+    recovery::{TAKE_OVER_LIMIT, VIEW_SETTLES},
+};
+
+impl Node {
+    /// Returns who decides for a slot, for a packet that `from` relayed.
+    ///
+    /// A new owner relays to the last one until its take-over is answered.
+    /// The last owner decides what the new one relays to it until it has
+    /// answered the take-over, and nothing afterwards.
+    pub(super) fn acting_owner(
+        &self,
+        now: Instant,
+        slot: u16,
+        from: Option<MemberId>,
+    ) -> Option<MemberId> {
+        let me = self.view.me();
+        let owner = self.slots.owner(slot);
+        if !self.guards(Guard::TakeOver) {
+            return owner;
+        }
+        let recovery = &self.recovery;
+        let recent = |at: Instant| now.since(at) < TAKE_OVER_LIMIT;
+        if let Some(&(new, _)) = recovery.taken.get(&slot).filter(|t| recent(t.1)) {
+            if owner == Some(me) && self.answers(new) && recovery.gained.get(&slot).is_none() {
+                return Some(new);
+            }
+            return owner;
+        }
+        if owner != Some(me) {
+            let decides = from == owner && recovery.lost.get(&slot).is_some_and(|&at| recent(at));
+            return if decides { Some(me) } else { owner };
+        }
+        match recovery.gained.get(&slot) {
+            Some(&(last, at)) if self.answers(last) => {
+                let settling = now.since(at) < VIEW_SETTLES || recovery.is_incomplete(slot);
+                if settling { Some(last) } else { owner }
+            }
+            _ => owner,
+        }
+    }
+
+    pub(super) fn answers(&self, id: MemberId) -> bool {
+        self.view.get(id).is_some_and(|m| m.reachable())
+    }
+}
--- a/crates/cicadaweir-core/src/node/recovery.rs
+++ b/crates/cicadaweir-core/src/node/recovery.rs
@@ -38,10 +38,10 @@
 const FETCH_REPEAT: Duration = Duration::from_millis(1_500);
 
 /// How long the members' views may differ after a change.
-const VIEW_SETTLES: Duration = Duration::from_millis(1_200);
+pub(super) const VIEW_SETTLES: Duration = Duration::from_millis(1_200);
 
 /// How long a change of owner may take to be carried through.
-const TAKE_OVER_LIMIT: Duration = Duration::from_secs(8);
+pub(super) const TAKE_OVER_LIMIT: Duration = Duration::from_secs(8);
 
 /// Requests for the same exceptions before they are given up.
 const FETCH_TRIES: u32 = 4;
@@ -79,11 +79,11 @@
     /// Slots whose exceptions may be missing here, with those who know them.
     incomplete: IndexMap<u16, Vec<MemberId>>,
     /// Slots that came to this member, with their last owners.
-    gained: IndexMap<u16, (MemberId, Instant)>,
+    pub gained: IndexMap<u16, (MemberId, Instant)>,
     /// Slots that this member owned before, and since when it does not.
-    lost: IndexMap<u16, Instant>,
+    pub lost: IndexMap<u16, Instant>,
     /// Slots that another member has taken over, whatever the view says.
-    taken: IndexMap<u16, (MemberId, Instant)>,
+    pub taken: IndexMap<u16, (MemberId, Instant)>,
     transfers: Vec<Transfer>,
     served: IndexSet<MemberId>,
     ambiguous: AmbiguousSlots,
@@ -196,47 +196,6 @@
 }
 
 impl Node {
-    /// Returns who decides for a slot, for a packet that `from` relayed.
-    ///
-    /// A new owner relays to the last one until its take-over is answered.
-    /// The last owner decides what the new one relays to it until it has
-    /// answered the take-over, and nothing afterwards.
-    pub(super) fn acting_owner(
-        &self,
-        now: Instant,
-        slot: u16,
-        from: Option<MemberId>,
-    ) -> Option<MemberId> {
-        let me = self.view.me();
-        let owner = self.slots.owner(slot);
-        if !self.guards(Guard::TakeOver) {
-            return owner;
-        }
-        let recovery = &self.recovery;
-        let recent = |at: Instant| now.since(at) < TAKE_OVER_LIMIT;
-        if let Some(&(new, _)) = recovery.taken.get(&slot).filter(|t| recent(t.1)) {
-            if owner == Some(me) && self.answers(new) && recovery.gained.get(&slot).is_none() {
-                return Some(new);
-            }
-            return owner;
-        }
-        if owner != Some(me) {
-            let decides = from == owner && recovery.lost.get(&slot).is_some_and(|&at| recent(at));
-            return if decides { Some(me) } else { owner };
-        }
-        match recovery.gained.get(&slot) {
-            Some(&(last, at)) if self.answers(last) => {
-                let settling = now.since(at) < VIEW_SETTLES || recovery.is_incomplete(slot);
-                if settling { Some(last) } else { owner }
-            }
-            _ => owner,
-        }
-    }
-
-    fn answers(&self, id: MemberId) -> bool {
-        self.view.get(id).is_some_and(|m| m.reachable())
-    }
-
     /// Fetches what is missing for slots that came to this member, and what
     /// will be missing for slots that are about to come.
     pub(super) fn acquire(&mut self, now: Instant, acquired: Vec<Acquired>) {
--- a/crates/cicadaweir-core/tests/placement.rs
+++ b/crates/cicadaweir-core/tests/placement.rs
@@ -53,3 +53,19 @@
     let moved = before.iter().zip(&after).filter(|(a, b)| a != b).count();
     assert!(moved * 5 < BUCKETS, "{moved} of {BUCKETS} buckets moved");
 }
+
+#[test]
+fn without_a_bound_the_fullest_of_14_targets_lies_far_above_its_share() {
+    let unbounded = Options {
+        slack_percent: 1_000,
+    };
+    let fullest = (0..20u64)
+        .map(|seed| {
+            let table = build(seed, &targets(14), unbounded);
+            shares(&table, 14).into_iter().max().unwrap_or(0)
+        })
+        .sum::<usize>() as f64
+        / 20.0;
+    let ratio = fullest * 14.0 / BUCKETS as f64;
+    assert!((1.10..1.35).contains(&ratio), "{ratio}");
+}
--- /dev/null
+++ b/crates/cicadaweir-lab/src/commands.rs
@@ -0,0 +1,11 @@
+//! The commands.
+
+mod bench;
+mod capacity;
+mod guards;
+mod scenarios;
+
+pub use bench::{bench, pacing};
+pub use capacity::{capacity, fleet_sizes};
+pub use guards::guards;
+pub use scenarios::{record, scenarios, trace, write_report};
--- a/crates/cicadaweir-lab/src/world.rs
+++ b/crates/cicadaweir-lab/src/world.rs
@@ -2,6 +2,8 @@
 
 mod act;
 mod caller;
+mod callers;
+mod changes;
 mod event;
 mod faults;
 mod link;
@@ -9,6 +11,7 @@
 mod record;
 mod run;
 mod target;
+mod targets;
 
 pub use caller::{Caller, CallerKind, CallerState};
 pub use event::Happening;
