--- a/crates/cicadaweir-core/src/event.rs
+++ b/crates/cicadaweir-core/src/event.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
-    catalog::{ReleaseNote, TargetKey},
+    catalog::{Part, ReleaseNote, TargetKey},
     flow::Endpoint,
     load::ProbeResult,
     membership::{ListEntry, MemberId},
@@ -51,6 +51,8 @@
     List(Vec<ListEntry>),
     /// A release note was read from the store.
     Note(Arc<ReleaseNote>),
+    /// A snapshot of the catalog was read from the store, in parts.
+    Snapshot(Vec<Part>),
     /// A probe of a target ended.
     Probed {
         /// The target.
--- a/crates/cicadaweir-core/src/message.rs
+++ b/crates/cicadaweir-core/src/message.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
-    catalog::{ReleaseNote, Revision, TargetKey},
+    catalog::{Part, ReleaseNote, Revision, TargetKey},
     load::{LoadUpdate, MarkUpdate},
     membership::{MemberId, MemberUpdate},
     time::Duration,
@@ -115,6 +115,18 @@
         /// The revision in force at the sender.
         agreed: Revision,
     },
+    /// Asks for one part of the sender's catalog.
+    PartWanted {
+        /// The number of the part.
+        number: u32,
+    },
+    /// Brings one part of a catalog.
+    Part {
+        /// The part.
+        part: Box<Part>,
+        /// The revision in force at the sender.
+        agreed: Revision,
+    },
     /// Asks for the exceptions in some slots.
     ExceptionsWanted {
         /// The slots, ascending.
@@ -209,7 +221,10 @@
             Self::MembersWanted { .. } | Self::Members { .. } => MessageKind::Members,
             Self::Known { .. } | Self::Revisions { .. } => MessageKind::Agreement,
             Self::Marks { .. } => MessageKind::Marks,
-            Self::NotesWanted { .. } | Self::Notes { .. } => MessageKind::Notes,
+            Self::NotesWanted { .. }
+            | Self::Notes { .. }
+            | Self::PartWanted { .. }
+            | Self::Part { .. } => MessageKind::Notes,
             Self::ExceptionsWanted { .. } | Self::Exceptions { .. } => MessageKind::HandOver,
             Self::Lookup { .. } | Self::LookupAnswer { .. } | Self::Broken { .. } => {
                 MessageKind::Lookup
--- a/crates/cicadaweir-core/src/node.rs
+++ b/crates/cicadaweir-core/src/node.rs
@@ -17,6 +17,7 @@
 mod probers;
 mod recovery;
 mod silence;
+mod snapshots;
 mod status;
 
 use indexmap::IndexMap;
@@ -28,7 +29,7 @@
 
 use crate::{
     agreement::Agreement,
-    catalog::Catalog,
+    catalog::{Catalog, Part},
     flow::FlowTable,
     hash::HashKey,
     load::MarkUpdate,
@@ -68,6 +69,8 @@
     catalog: Catalog,
     notes: Vec<HeldNote>,
     notes_asked: Option<Instant>,
+    /// Parts of a peer's catalog, while a newcomer collects them.
+    parts: Vec<Part>,
     flows: FlowTable,
     lookups: Lookups,
     recovery: Recovery,
@@ -106,6 +109,7 @@
             catalog: Catalog::new(options.placement),
             notes: Vec::new(),
             notes_asked: None,
+            parts: Vec::new(),
             flows: FlowTable::new(options.most_flows, options.expiry),
             lookups: Lookups::default(),
             recovery: Recovery::default(),
@@ -135,6 +139,7 @@
             Event::Message { from, message } => self.message(now, from, message, out),
             Event::List(list) => self.list(now, &list),
             Event::Note(note) => self.note_from_store(now, note, out),
+            Event::Snapshot(parts) => self.install(now, &parts, Revision::default(), out),
             Event::Probed { target, result } => self.probed(now, target, result),
             Event::Tick => self.tick(now, out),
             Event::Leave => self.leave(now, out),
--- a/crates/cicadaweir-core/src/node/members.rs
+++ b/crates/cicadaweir-core/src/node/members.rs
@@ -104,6 +104,8 @@
             Message::Marks { marks } => self.hear_marks(now, &marks),
             Message::NotesWanted { have } => self.send_notes(now, from, have, out),
             Message::Notes { notes, agreed } => self.notes_from_peer(now, notes, agreed, out),
+            Message::PartWanted { number } => self.send_part(now, from, number, out),
+            Message::Part { part, agreed } => self.take_part(now, from, *part, agreed, out),
             Message::ExceptionsWanted { slots, take_over } => {
                 self.serve_exceptions(from, slots, take_over);
             }
--- a/crates/cicadaweir-core/src/node/notes.rs
+++ b/crates/cicadaweir-core/src/node/notes.rs
@@ -14,6 +14,12 @@
 /// The most release notes in one message.
 const MOST_NOTES: usize = 16;
 
+/// The most release notes that a newcomer replays instead of taking a snapshot.
+const MOST_REPLAYED: u64 = 64;
+
+/// The most release notes that are held for others.
+const MOST_HELD: usize = 4_096;
+
 /// How long an unanswered request for notes stands.
 const NOTES_PATIENCE: Duration = Duration::from_millis(300);
 
@@ -60,6 +66,9 @@
             age,
             since: now,
         });
+        if self.notes.len() > MOST_HELD {
+            self.notes.drain(..MOST_HELD / 2);
+        }
         self.catalog_changed(now, &touched);
     }
 
@@ -109,7 +118,7 @@
 
     /// Tells the neighbours in the tree which revisions this member stands
     /// at, as soon as they change.
-    fn tell_neighbours(&mut self, out: &mut Vec<Action>) {
+    pub(super) fn tell_neighbours(&mut self, out: &mut Vec<Action>) {
         let (known, agreed) = (self.agreement.known(), self.agreement.agreed());
         for to in self.tree_neighbours() {
             self.send(to, Message::Revisions { known, agreed }, out);
@@ -139,6 +148,9 @@
         have: Revision,
         out: &mut Vec<Action>,
     ) {
+        if self.needs_snapshot(have) {
+            return self.send_part(now, to, 0, out);
+        }
         let first = self.notes.partition_point(|n| n.note.revision <= have);
         let notes = self.notes[first..].iter().take(MOST_NOTES);
         let notes = notes
@@ -236,7 +248,16 @@
         })
     }
 
-    fn catalog_changed(&mut self, now: Instant, touched: &[ServiceKey]) {
+    /// Returns whether a member is better served by a snapshot: it knows
+    /// nothing and has much to replay, or its next note is not held here.
+    fn needs_snapshot(&self, have: Revision) -> bool {
+        let behind = self.catalog.revision().0.saturating_sub(have.0);
+        let held = self.notes.first().map_or(0, |n| n.note.revision.0);
+        let missing = behind > 0 && (held == 0 || held > have.0 + 1);
+        have == Revision::default() && (missing || behind > MOST_REPLAYED)
+    }
+
+    pub(super) fn catalog_changed(&mut self, now: Instant, touched: &[ServiceKey]) {
         self.grow_targets(now);
         for &key in touched {
             self.refresh_ambiguous_slots(key);
--- a/crates/cicadaweir-lab/src/capacity.rs
+++ b/crates/cicadaweir-lab/src/capacity.rs
@@ -57,6 +57,9 @@
     pub news_bytes: f64,
     /// Memory of members, slots and catalog, in bytes.
     pub memory: f64,
+    /// A snapshot of the catalog: its parts, its bytes, and the time that a
+    /// newcomer takes to install it, in milliseconds.
+    pub snapshot: (u32, f64, f64),
 }
 
 /// The fleet's key in the measurement.
@@ -238,6 +241,7 @@
     let mut bench = Bench::new(size);
     let memory = resident_bytes().saturating_sub(before) as f64;
     let rounds = if size.targets > 5_000 { 20 } else { 100 };
+    let snapshot = snapshot(&bench);
     let quiet_bytes = quiet_bytes(&mut bench);
     let tick_us = time(400, |_| bench.tick());
     let probe_us = time(400, |_| bench.probe(vec![]));
@@ -296,9 +300,27 @@
         quiet_bytes,
         news_bytes,
         memory,
+        snapshot,
     }
 }
 
+/// Measures a snapshot of a node's catalog and its installation.
+fn snapshot(bench: &Bench) -> (u32, f64, f64) {
+    let catalog = bench.node.catalog();
+    let parts: Vec<_> = (0..catalog.parts())
+        .filter_map(|n| catalog.part(n, bench.now))
+        .collect();
+    let bytes: usize = parts
+        .iter()
+        .map(|p| cicadaweir_proto::note::part_to_json(p).len())
+        .sum();
+    let mut newcomer = Node::new(Options::default(), KEY, member(1, 1), Instant::START);
+    let started = Clock::now();
+    newcomer.handle(Instant::START, Event::Snapshot(parts), &mut Vec::new());
+    let install_ms = started.elapsed().as_secs_f64() * 1e3;
+    (catalog.parts(), bytes as f64, install_ms)
+}
+
 /// Times encoding and decoding of a probe that carries six records of each
 /// sort, in microseconds.
 pub fn codec_us() -> f64 {
--- a/crates/cicadaweir-lab/src/commands/capacity.rs
+++ b/crates/cicadaweir-lab/src/commands/capacity.rs
@@ -75,6 +75,14 @@
         costs.push((size, c));
     }
     print_slopes(&costs);
+    for (size, cost) in &costs {
+        let (parts, bytes, install_ms) = cost.snapshot;
+        println!(
+            "snapshot at {} targets: {parts} parts, {:.0} KB, installed in {install_ms:.1} ms",
+            size.targets,
+            bytes / 1e3
+        );
+    }
     println!(
         "codec us      {:>8.2} a message with six records of each sort",
         capacity::codec_us()
--- a/crates/cicadaweir-proto/schema/peer.capnp
+++ b/crates/cicadaweir-proto/schema/peer.capnp
@@ -65,6 +65,8 @@
     broken :group { broken @25 :UInt64; silent @26 :UInt32; }
     revisions :group { newest @29 :UInt64; inForce @30 :UInt64; }
     marks :group { urgent @31 :List(Mark); }
+    partWanted :group { number @34 :UInt32; }
+    part :group { part @35 :Data; agreed @36 :UInt64; }
   }
 }
 
--- a/crates/cicadaweir-proto/src/codec/decode.rs
+++ b/crates/cicadaweir-proto/src/codec/decode.rs
@@ -82,6 +82,16 @@
                 .collect::<Result<_, CodecError>>()?,
             agreed: Revision(r.get_agreed()),
         },
+        Which::PartWanted(r) => Message::PartWanted {
+            number: r.get_number(),
+        },
+        Which::Part(r) => Message::Part {
+            part: Box::new(
+                note::part_from_json(r.get_part()?)
+                    .map_err(|err| CodecError::Malformed(err.to_string()))?,
+            ),
+            agreed: Revision(r.get_agreed()),
+        },
         Which::ExceptionsWanted(r) => Message::ExceptionsWanted {
             slots: r.get_slots()?.iter().collect(),
             take_over: r.get_take_over(),
--- a/crates/cicadaweir-proto/src/codec/encode.rs
+++ b/crates/cicadaweir-proto/src/codec/encode.rs
@@ -80,6 +80,12 @@
                 ages.set(at, age.as_millis());
             }
         }
+        Message::PartWanted { number } => envelope.init_part_wanted().set_number(*number),
+        Message::Part { part, agreed } => {
+            let mut b = envelope.init_part();
+            b.set_agreed(agreed.0);
+            b.set_part(&note::part_to_json(part));
+        }
         Message::ExceptionsWanted { slots, take_over } => {
             let mut b = envelope.init_exceptions_wanted();
             b.set_take_over(*take_over);
--- a/crates/cicadaweir-proto/src/note/record.rs
+++ b/crates/cicadaweir-proto/src/note/record.rs
@@ -47,7 +47,7 @@
 
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-struct TargetRecord {
+pub(super) struct TargetRecord {
     name: String,
     endpoint: String,
     zone: u16,
@@ -179,7 +179,7 @@
 }
 
 impl TargetRecord {
-    fn spec(self) -> Result<TargetSpec, FileError> {
+    pub(super) fn spec(self) -> Result<TargetSpec, FileError> {
         let probe = self.probe.as_deref();
         Ok(TargetSpec {
             endpoint: parse_endpoint("endpoint", &self.endpoint, 0)?,
--- a/crates/cicadaweir-proto/src/peer_capnp.rs
+++ b/crates/cicadaweir-proto/src/peer_capnp.rs
@@ -1799,7 +1799,7 @@
 }
 
 pub mod envelope {
-    pub use self::Which::{Probe,ProbeAnswer,ProbeFor,MembersWanted,Members,Known,NotesWanted,Notes,ExceptionsWanted,Exceptions,Lookup,LookupAnswer,Broken,Revisions,Marks};
+    pub use self::Which::{Probe,ProbeAnswer,ProbeFor,MembersWanted,Members,Known,NotesWanted,Notes,ExceptionsWanted,Exceptions,Lookup,LookupAnswer,Broken,Revisions,Marks,PartWanted,Part};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -1947,6 +1947,16 @@
                         self.reader.into()
                     ))
                 }
+                15 => {
+                    ::core::result::Result::Ok(PartWanted(
+                        self.reader.into()
+                    ))
+                }
+                16 => {
+                    ::core::result::Result::Ok(Part(
+                        self.reader.into()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -2128,6 +2138,19 @@
             self.builder.into()
         }
         #[inline]
+        pub fn init_part_wanted(self, ) -> crate::peer_capnp::envelope::part_wanted::Builder<'a> {
+            self.builder.set_data_field::<u16>(1, 15);
+            self.builder.set_data_field::<u32>(6, 0u32);
+            self.builder.into()
+        }
+        #[inline]
+        pub fn init_part(mut self, ) -> crate::peer_capnp::envelope::part::Builder<'a> {
+            self.builder.set_data_field::<u16>(1, 16);
+            self.builder.reborrow().get_pointer_field(0).clear();
+            self.builder.set_data_field::<u64>(1, 0u64);
+            self.builder.into()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(1) {
                 0 => {
@@ -2205,6 +2228,16 @@
                         self.builder.into()
                     ))
                 }
+                15 => {
+                    ::core::result::Result::Ok(PartWanted(
+                        self.builder.into()
+                    ))
+                }
+                16 => {
+                    ::core::result::Result::Ok(Part(
+                        self.builder.into()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -2219,140 +2252,154 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 176] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 193] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(129, 84, 227, 215, 169, 194, 241, 182),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 15, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 17, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 47, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 69, 110, 118, 101, 108),
             ::capnp::word(111, 112, 101, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(240, 187, 122, 117, 155, 243, 158, 200),
-            ::capnp::word(213, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(3, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(122, 162, 8, 72, 219, 165, 211, 133),
-            ::capnp::word(189, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(225, 184, 96, 143, 45, 127, 28, 145),
-            ::capnp::word(169, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 195, 150, 74, 78, 43, 49, 134),
-            ::capnp::word(149, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(6, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(169, 68, 195, 90, 238, 80, 102, 193),
-            ::capnp::word(129, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(7, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 210, 59, 156, 192, 171, 193, 213),
-            ::capnp::word(105, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(202, 155, 24, 179, 105, 146, 250, 218),
-            ::capnp::word(81, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(165, 176, 77, 155, 120, 198, 186, 206),
-            ::capnp::word(61, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(10, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(170, 159, 30, 180, 42, 133, 70, 209),
-            ::capnp::word(37, 1, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(11, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(247, 100, 66, 35, 220, 131, 0, 185),
-            ::capnp::word(21, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 245, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(3, 155, 41, 123, 138, 137, 57, 172),
-            ::capnp::word(1, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(13, 0, 244, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(66, 92, 163, 168, 255, 221, 59, 145),
-            ::capnp::word(233, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 243, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(131, 211, 118, 110, 106, 160, 48, 230),
-            ::capnp::word(213, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(15, 0, 242, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(198, 67, 5, 91, 11, 81, 3, 173),
-            ::capnp::word(189, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 241, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(129, 94, 219, 216, 36, 26, 162, 136),
-            ::capnp::word(169, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 0, 240, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(243, 23, 168, 72, 157, 187, 171, 233),
+            ::capnp::word(201, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(18, 0, 239, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(30, 62, 244, 214, 198, 235, 11, 170),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2396,6 +2443,9 @@
             ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
             ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(109, 97, 114, 107, 115, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 87, 97, 110, 116),
+            ::capnp::word(101, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2416,6 +2466,8 @@
                 14 => <crate::peer_capnp::envelope::broken::Owned as ::capnp::introspect::Introspect>::introspect(),
                 15 => <crate::peer_capnp::envelope::revisions::Owned as ::capnp::introspect::Introspect>::introspect(),
                 16 => <crate::peer_capnp::envelope::marks::Owned as ::capnp::introspect::Introspect>::introspect(),
+                17 => <crate::peer_capnp::envelope::part_wanted::Owned as ::capnp::introspect::Introspect>::introspect(),
+                18 => <crate::peer_capnp::envelope::part::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2430,11 +2482,11 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[14,11,10,7,12,13,16,6,5,9,8,2,3,4,15,1,0];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[14,11,10,7,12,13,16,6,5,9,8,18,17,2,3,4,15,1,0];
         pub(crate) const TYPE_ID: u64 = 0xb2c2_25da_d916_6f1a;
     }
-    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12,A13,A14> {
+    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12,A13,A14,A15,A16> {
         Probe(A0),
         ProbeAnswer(A1),
         ProbeFor(A2),
@@ -2450,9 +2502,11 @@
         Broken(A12),
         Revisions(A13),
         Marks(A14),
+        PartWanted(A15),
+        Part(A16),
     }
-    pub type WhichReader<'a,> = Which<crate::peer_capnp::envelope::probe::Reader<'a>,crate::peer_capnp::envelope::probe_answer::Reader<'a>,crate::peer_capnp::envelope::probe_for::Reader<'a>,crate::peer_capnp::envelope::members_wanted::Reader<'a>,crate::peer_capnp::envelope::members::Reader<'a>,crate::peer_capnp::envelope::known::Reader<'a>,crate::peer_capnp::envelope::notes_wanted::Reader<'a>,crate::peer_capnp::envelope::notes::Reader<'a>,crate::peer_capnp::envelope::exceptions_wanted::Reader<'a>,crate::peer_capnp::envelope::exceptions::Reader<'a>,crate::peer_capnp::envelope::lookup::Reader<'a>,crate::peer_capnp::envelope::lookup_answer::Reader<'a>,crate::peer_capnp::envelope::broken::Reader<'a>,crate::peer_capnp::envelope::revisions::Reader<'a>,crate::peer_capnp::envelope::marks::Reader<'a>>;
-    pub type WhichBuilder<'a,> = Which<crate::peer_capnp::envelope::probe::Builder<'a>,crate::peer_capnp::envelope::probe_answer::Builder<'a>,crate::peer_capnp::envelope::probe_for::Builder<'a>,crate::peer_capnp::envelope::members_wanted::Builder<'a>,crate::peer_capnp::envelope::members::Builder<'a>,crate::peer_capnp::envelope::known::Builder<'a>,crate::peer_capnp::envelope::notes_wanted::Builder<'a>,crate::peer_capnp::envelope::notes::Builder<'a>,crate::peer_capnp::envelope::exceptions_wanted::Builder<'a>,crate::peer_capnp::envelope::exceptions::Builder<'a>,crate::peer_capnp::envelope::lookup::Builder<'a>,crate::peer_capnp::envelope::lookup_answer::Builder<'a>,crate::peer_capnp::envelope::broken::Builder<'a>,crate::peer_capnp::envelope::revisions::Builder<'a>,crate::peer_capnp::envelope::marks::Builder<'a>>;
+    pub type WhichReader<'a,> = Which<crate::peer_capnp::envelope::probe::Reader<'a>,crate::peer_capnp::envelope::probe_answer::Reader<'a>,crate::peer_capnp::envelope::probe_for::Reader<'a>,crate::peer_capnp::envelope::members_wanted::Reader<'a>,crate::peer_capnp::envelope::members::Reader<'a>,crate::peer_capnp::envelope::known::Reader<'a>,crate::peer_capnp::envelope::notes_wanted::Reader<'a>,crate::peer_capnp::envelope::notes::Reader<'a>,crate::peer_capnp::envelope::exceptions_wanted::Reader<'a>,crate::peer_capnp::envelope::exceptions::Reader<'a>,crate::peer_capnp::envelope::lookup::Reader<'a>,crate::peer_capnp::envelope::lookup_answer::Reader<'a>,crate::peer_capnp::envelope::broken::Reader<'a>,crate::peer_capnp::envelope::revisions::Reader<'a>,crate::peer_capnp::envelope::marks::Reader<'a>,crate::peer_capnp::envelope::part_wanted::Reader<'a>,crate::peer_capnp::envelope::part::Reader<'a>>;
+    pub type WhichBuilder<'a,> = Which<crate::peer_capnp::envelope::probe::Builder<'a>,crate::peer_capnp::envelope::probe_answer::Builder<'a>,crate::peer_capnp::envelope::probe_for::Builder<'a>,crate::peer_capnp::envelope::members_wanted::Builder<'a>,crate::peer_capnp::envelope::members::Builder<'a>,crate::peer_capnp::envelope::known::Builder<'a>,crate::peer_capnp::envelope::notes_wanted::Builder<'a>,crate::peer_capnp::envelope::notes::Builder<'a>,crate::peer_capnp::envelope::exceptions_wanted::Builder<'a>,crate::peer_capnp::envelope::exceptions::Builder<'a>,crate::peer_capnp::envelope::lookup::Builder<'a>,crate::peer_capnp::envelope::lookup_answer::Builder<'a>,crate::peer_capnp::envelope::broken::Builder<'a>,crate::peer_capnp::envelope::revisions::Builder<'a>,crate::peer_capnp::envelope::marks::Builder<'a>,crate::peer_capnp::envelope::part_wanted::Builder<'a>,crate::peer_capnp::envelope::part::Builder<'a>>;
 
     pub mod probe {
         #[derive(Copy, Clone)]
@@ -5990,6 +6044,436 @@
             pub(crate) const TYPE_ID: u64 = 0x88a2_1a24_d8db_5e81;
         }
     }
+
+    pub mod part_wanted {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_number(self) -> u32 {
+                self.reader.get_data_field::<u32>(6)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_number(self) -> u32 {
+                self.builder.get_data_field::<u32>(6)
+            }
+            #[inline]
+            pub fn set_number(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(6, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(243, 23, 168, 72, 157, 187, 171, 233),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
+                ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 69, 110, 118, 101, 108),
+                ::capnp::word(111, 112, 101, 46, 112, 97, 114, 116),
+                ::capnp::word(87, 97, 110, 116, 101, 100, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 6, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xe9ab_bb9d_48a8_17f3;
+        }
+    }
+
+    pub mod part {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_part(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_part(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_agreed(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_part(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_part(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_part(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_part(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_agreed(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_agreed(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(30, 62, 244, 214, 198, 235, 11, 170),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
+                ::capnp::word(26, 111, 22, 217, 218, 37, 194, 178),
+                ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 69, 110, 118, 101, 108),
+                ::capnp::word(111, 112, 101, 46, 112, 97, 114, 116),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 35, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 36, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 97, 114, 116, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 103, 114, 101, 101, 100, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0xaa0b_ebc6_d6f4_3e1e;
+        }
+    }
 }
 
 
--- a/crates/cicadaweir-proto/src/store.rs
+++ b/crates/cicadaweir-proto/src/store.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | [`HEAD_KEY`] | a [`Head`], changed by compare-and-swap |
 //! | [`note_key`] | one release note in JSON, written before the head names it |
+//! | [`snapshot_key`] | a JSON array of parts of the catalog at one revision |
 //!
 //! A note is written under its own identity, so that two publishers never
 //! write one key; the head alone decides which note made a revision. The head
@@ -27,6 +28,23 @@
     pub revision: u64,
     /// The identities of the last notes, the newest last.
     pub notes: Vec<String>,
+    /// The snapshot to start from, if there is one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub snapshot: Option<SnapshotRef>,
+}
+
+/// Where a snapshot of the catalog lies.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SnapshotRef {
+    /// The revision of the catalog.
+    pub revision: u64,
+    /// The identity of the note that made it; part of the keys.
+    pub note: String,
+    /// When it was written, in milliseconds since 1970.
+    pub written_ms: u64,
+    /// The number of values, each a JSON array of parts below 1 MB.
+    pub values: u32,
 }
 
 impl Head {
@@ -55,10 +73,16 @@
         Self {
             revision: self.revision + 1,
             notes,
+            snapshot: self.snapshot.clone(),
         }
     }
 }
 
+/// Returns the key of one value of a snapshot.
+pub fn snapshot_key(snapshot: &SnapshotRef, value: u32) -> String {
+    format!("cicadaweir/snapshots/{}/{value}", snapshot.note)
+}
+
 /// Returns the key of a note.
 pub fn note_key(note: &str) -> String {
     format!("cicadaweir/notes/{note}")
--- a/crates/cicadaweir-proto/src/trace/event.rs
+++ b/crates/cicadaweir-proto/src/trace/event.rs
@@ -33,6 +33,8 @@
     List(Vec<ListRecord>),
     /// A release note as the store keeps it.
     Note(String),
+    /// A snapshot's parts in JSON.
+    Snapshot(Vec<String>),
     /// The end of a probe.
     Probed(u32, ProbeRecord),
     /// A planned stop.
@@ -196,6 +198,12 @@
             Event::Note(release) => {
                 Self::Note(String::from_utf8_lossy(&note::to_json(release)).into_owned())
             }
+            Event::Snapshot(parts) => Self::Snapshot(
+                parts
+                    .iter()
+                    .map(|p| String::from_utf8_lossy(&note::part_to_json(p)).into_owned())
+                    .collect(),
+            ),
             Event::Probed { target, result } => Self::Probed(target.0, (*result).into()),
             Event::Tick => Self::Ticks(1),
             Event::Leave => Self::Leave,
@@ -240,6 +248,13 @@
                 let release = note::from_json(text.as_bytes()).map_err(|err| err.to_string())?;
                 Event::Note(std::sync::Arc::new(release))
             }
+            Self::Snapshot(parts) => Event::Snapshot(
+                parts
+                    .iter()
+                    .map(|p| note::part_from_json(p.as_bytes()))
+                    .collect::<Result<_, _>>()
+                    .map_err(|err| err.to_string())?,
+            ),
             Self::Probed(target, result) => Event::Probed {
                 target: TargetKey(*target),
                 result: (*result).into(),
--- a/crates/cicadaweir-proto/tests/decoders.rs
+++ b/crates/cicadaweir-proto/tests/decoders.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 
 use cicadaweir_core::{
-    catalog::{Change, NoteId, ReleaseNote, Revision, TargetKey, ZoneId},
+    catalog::{
+        Change, Content, GenerationPart, NoteId, Part, ReleaseNote, Revision, ServicePart,
+        TargetKey, ZoneId,
+    },
     flow::Endpoint,
     load::{LoadUpdate, Mark, MarkUpdate},
     membership::{Health, MemberId, MemberUpdate, Phase},
@@ -62,6 +65,25 @@
     }
 }
 
+fn part() -> Part {
+    Part {
+        revision: Revision(9),
+        note: NoteId(8),
+        number: 1,
+        count: 2,
+        content: Content::Services(vec![ServicePart {
+            name: "board".into(),
+            addresses: vec![],
+            withdrawn: Some(Revision(3)),
+            generations: vec![GenerationPart {
+                revision: Revision(2),
+                superseded: Some(Duration::from_millis(5)),
+                targets: vec![(TargetKey(1), 100)],
+            }],
+        }]),
+    }
+}
+
 fn all_messages() -> Vec<Message> {
     let release = ReleaseNote {
         revision: Revision(4),
@@ -118,6 +140,11 @@
             last: true,
             take_over: false,
         },
+        Message::PartWanted { number: 4 },
+        Message::Part {
+            part: Box::new(part()),
+            agreed: Revision(8),
+        },
         Message::Lookup { flow_hash: 3 },
         Message::LookupAnswer {
             flow_hash: 4,
@@ -244,7 +271,7 @@
 
     #[test]
     fn no_damage_to_a_message_makes_the_decoder_panic(
-        which in 0usize..16, at in any::<prop::sample::Index>(), byte in any::<u8>(), cut in any::<prop::sample::Index>()
+        which in 0usize..18, at in any::<prop::sample::Index>(), byte in any::<u8>(), cut in any::<prop::sample::Index>()
     ) {
         let messages = all_messages();
         let mut buf = Vec::new();
--- a/crates/cicadaweir/src/history.rs
+++ b/crates/cicadaweir/src/history.rs
@@ -6,12 +6,13 @@
     catalog::{Catalog, ReleaseNote, Revision},
     error::ErrorKind,
     placement,
+    time::Instant,
 };
 use cicadaweir_proto::{
     note,
-    store::{HEAD_KEY, Head, note_key},
+    store::{HEAD_KEY, Head, SnapshotRef, note_key, snapshot_key},
 };
-use cicadaweird::platform::{Platform, PlatformError};
+use cicadaweird::platform::{Platform, PlatformError, read_snapshot};
 
 /// Why the store's release notes can't be read.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -104,26 +105,47 @@
         .collect()
 }
 
-/// Replays all notes up to the head.
+/// Starts from the head's snapshot, if it names one, and replays the notes
+/// after it.
 ///
 /// # Errors
 ///
 /// [`Error`] if the platform does not answer, or a note does not decode or
 /// does not fit.
 pub fn catalog(platform: &impl Platform, head: &Head) -> Result<Catalog, Error> {
+    let mut catalog = match &head.snapshot {
+        Some(snapshot) => from_snapshot(platform, snapshot)?,
+        None => Catalog::new(placement::Options::default()),
+    };
     let forgotten = head.revision.saturating_sub(head.notes.len() as u64);
-    if forgotten > 0 {
+    if forgotten > catalog.revision().0 {
         return Err(Error::Malformed {
             key: HEAD_KEY.to_owned(),
             why: format!("it no longer names the first {forgotten} release notes"),
         });
     }
-    let mut catalog = Catalog::new(placement::Options::default());
-    for release in notes_after(platform, head, Revision::default())? {
+    for release in notes_after(platform, head, catalog.revision())? {
         catalog.apply(&release).map_err(|err| Error::Malformed {
             key: note_key(&release.id.to_string()),
             why: err.to_string(),
         })?;
+        catalog.supersede(release.revision, wall_clock(release.published_ms));
     }
     Ok(catalog)
 }
+
+/// Returns a time in milliseconds since 1970 as a point on the clock that the
+/// tool's catalogs go by.
+pub const fn wall_clock(ms: u64) -> Instant {
+    Instant::from_micros(ms.saturating_mul(1_000))
+}
+
+fn from_snapshot(platform: &impl Platform, snapshot: &SnapshotRef) -> Result<Catalog, Error> {
+    let parts = read_snapshot(platform, snapshot)?;
+    let options = placement::Options::default();
+    let written = wall_clock(snapshot.written_ms);
+    Catalog::from_parts(&parts, options, written).map_err(|_| Error::Malformed {
+        key: snapshot_key(snapshot, 0),
+        why: "its parts do not make a catalog".to_owned(),
+    })
+}
--- a/crates/cicadaweir/src/publish.rs
+++ b/crates/cicadaweir/src/publish.rs
@@ -6,6 +6,7 @@
 //! and none is reported lost that was accepted.
 
 mod error;
+mod snapshot;
 
 use std::{
     thread,
@@ -32,6 +33,8 @@
     pub id: NoteId,
     /// The time of publication in milliseconds since 1970.
     pub now_ms: u64,
+    /// A snapshot of the catalog is written every so many notes.
+    pub snapshot_every: u64,
     /// How often an unanswered write is resolved and tried again.
     pub tries: u32,
     /// The pause between two tries.
@@ -53,6 +56,7 @@
             file: NoteFile::default(),
             id: NoteId(0),
             now_ms: 0,
+            snapshot_every: 64,
             tries: 6,
             pause: Duration::from_millis(300),
         }
@@ -89,7 +93,11 @@
     let mut catalog = history::catalog(platform, &head)?;
     catalog.apply(&release).map_err(Error::Note)?;
     write_note(platform, options, &release)?;
-    swap_head(platform, options, version, &head)
+    let mut next = head.with(options.id);
+    if snapshot::is_due(&next, options.snapshot_every) {
+        next.snapshot = snapshot::write(platform, catalog, options.now_ms).or(next.snapshot);
+    }
+    swap_head(platform, options, version, &head, &next)
 }
 
 fn accepted(options: &Options, revision: Revision) -> Outcome {
@@ -144,9 +152,9 @@
     options: &Options,
     version: u64,
     head: &Head,
+    next: &Head,
 ) -> Result<Outcome, Error> {
-    let next = head.with(options.id);
-    let value = serde_json::to_vec(&next).map_err(|err| {
+    let value = serde_json::to_vec(next).map_err(|err| {
         Error::History(history::Error::Malformed {
             key: HEAD_KEY.to_owned(),
             why: err.to_string(),
--- a/crates/cicadaweir/tests/publish.rs
+++ b/crates/cicadaweir/tests/publish.rs
@@ -106,3 +106,32 @@
     let err = publish::publish(&client, &options(FIRST, 1)).expect_err("nobody answers");
     assert_eq!(exit::code(err.kind()), 5);
 }
+
+#[test]
+fn a_snapshot_stands_in_for_the_notes_before_it() {
+    let (server, client) = platform(36);
+    let publish = |text: &str, id: u128| {
+        let options = publish::Options {
+            snapshot_every: 2,
+            now_ms: 1_700_000_000_000 + id as u64,
+            ..options(text, id)
+        };
+        publish::publish(&client, &options).expect("accepted")
+    };
+    publish(FIRST, 1);
+    publish(SECOND, 2);
+    let (_, head) = history::head(&client).expect("readable");
+    let snapshot = head.snapshot.clone().expect("one is due after two notes");
+    assert_eq!(snapshot.revision, 2);
+    let before = server.counts().reads;
+    let catalog = history::catalog(&client, &head).expect("readable");
+    assert_eq!(server.counts().reads - before, 1, "no note is replayed");
+    assert_eq!(catalog.revision().0, 2);
+    let third = publish("[withdraw]\ntarget = [\"timetable/t2\"]\n", 3);
+    assert_eq!(third.revision.0, 3);
+    let (_, head) = history::head(&client).expect("readable");
+    let catalog = history::catalog(&client, &head).expect("readable");
+    let key = catalog.service_named("timetable").expect("known");
+    let names: Vec<&String> = catalog.service(key).targets.keys().collect();
+    assert_eq!(names, ["t3"]);
+}
--- a/crates/cicadaweird/src/daemon/engine.rs
+++ b/crates/cicadaweird/src/daemon/engine.rs
@@ -278,6 +278,10 @@
                 self.step(tunnel, peer, Event::Note(note), None);
                 self.share();
             }
+            Input::Snapshot(parts) => {
+                self.step(tunnel, peer, Event::Snapshot(parts), None);
+                self.share();
+            }
             Input::Probed(target, result) => {
                 self.step(tunnel, peer, Event::Probed { target, result }, None);
             }
--- a/crates/cicadaweird/src/inbox.rs
+++ b/crates/cicadaweird/src/inbox.rs
@@ -7,7 +7,7 @@
 };
 
 use cicadaweir_core::{
-    catalog::{ReleaseNote, TargetKey},
+    catalog::{Part, ReleaseNote, TargetKey},
     load::ProbeResult,
     membership::ListEntry,
 };
@@ -22,6 +22,8 @@
     List(Vec<ListEntry>),
     /// A release note was read.
     Note(Arc<ReleaseNote>),
+    /// A snapshot of the catalog was read.
+    Snapshot(Vec<Part>),
     /// A probe ended.
     Probed(TargetKey, ProbeResult),
     /// The tool asks something.
--- a/crates/cicadaweird/src/platform.rs
+++ b/crates/cicadaweird/src/platform.rs
@@ -7,7 +7,7 @@
 use cicadaweir_proto::list::ListRecord;
 
 pub use error::PlatformError;
-pub use follow::{Shared, follow_list, follow_store};
+pub use follow::{Shared, follow_list, follow_store, read_snapshot};
 pub use http::HttpPlatform;
 
 use std::time::Duration;
--- a/crates/cicadaweird/src/platform/follow.rs
+++ b/crates/cicadaweird/src/platform/follow.rs
@@ -9,10 +9,10 @@
     time::Duration,
 };
 
-use cicadaweir_core::catalog::Revision;
+use cicadaweir_core::catalog::{Part, Revision};
 use cicadaweir_proto::{
     note,
-    store::{HEAD_KEY, Head, note_key},
+    store::{HEAD_KEY, Head, SnapshotRef, note_key, snapshot_key},
 };
 use log::{info, warn};
 
@@ -85,7 +85,11 @@
     };
     let head: Head = serde_json::from_slice(&found.value)
         .map_err(|err| PlatformError::Malformed(err.to_string()))?;
-    let known = shared.known.load(Ordering::Relaxed);
+    let mut known = shared.known.load(Ordering::Relaxed);
+    if let Some(snapshot) = head.snapshot.as_ref().filter(|_| known == 0) {
+        fetch_snapshot(platform, snapshot, inbox)?;
+        known = snapshot.revision;
+    }
     for revision in known + 1..=head.revision {
         let Some(name) = head.note_of(Revision(revision)) else {
             info!(revision = revision; "the head no longer names the note; a peer has to bring it");
@@ -96,6 +100,44 @@
     Ok(found.version)
 }
 
+/// Reads a snapshot, so that a newcomer replays only what came after it.
+fn fetch_snapshot(
+    platform: &impl Platform,
+    snapshot: &SnapshotRef,
+    inbox: &Inbox,
+) -> Result<(), PlatformError> {
+    let parts = read_snapshot(platform, snapshot)?;
+    inbox.send(Input::Snapshot(parts));
+    Ok(())
+}
+
+/// Reads all parts of a snapshot.
+///
+/// # Errors
+///
+/// [`PlatformError`] if the service does not answer or a value does not
+/// decode.
+pub fn read_snapshot(
+    platform: &impl Platform,
+    snapshot: &SnapshotRef,
+) -> Result<Vec<Part>, PlatformError> {
+    let mut parts = Vec::new();
+    for value in 0..snapshot.values {
+        let key = snapshot_key(snapshot, value);
+        let malformed = |why: String| PlatformError::Malformed(format!("{key}: {why}"));
+        let found = platform
+            .get(&key)?
+            .ok_or_else(|| malformed("does not exist".to_owned()))?;
+        let records: Vec<Box<serde_json::value::RawValue>> =
+            serde_json::from_slice(&found.value).map_err(|err| malformed(err.to_string()))?;
+        for record in records {
+            let part = note::part_from_json(record.get().as_bytes());
+            parts.push(part.map_err(|err| malformed(err.to_string()))?);
+        }
+    }
+    Ok(parts)
+}
+
 fn fetch_note(platform: &impl Platform, name: &str, inbox: &Inbox) -> Result<(), PlatformError> {
     let key = note_key(name);
     let found = platform
