fix: hear a VM that was replaced at another address

Cause: messages were dropped unless they came from the address that is known, so that a VM replaced under the same number elsewhere could never join; and an unknown sender could claim any address. Change: a message counts if it comes from the known address, or from the one that a newer record of its sender, in the message itself, names. Before -> after: a replaced VM's probes dropped -> heard; a forged or old record still is not (test). Conclusion: replacement works at any address.

--- a/crates/cicadaweir-core/src/node/members.rs
+++ b/crates/cicadaweir-core/src/node/members.rs
@@ -52,6 +52,19 @@
 }
 
 impl Node {
+    /// Returns whether a message may be its sender's, by the address it came
+    /// from: the known one, or the one that a newer record of the sender, in the
+    /// message itself, names. A VM that is replaced at another address speaks so.
+    pub fn trusts(&self, from: MemberId, address: &Endpoint, message: &Message) -> bool {
+        let known = self.view.get(from).map(|m| m.record);
+        if known.is_some_and(|k| k.address == *address) {
+            return true;
+        }
+        let newer = |m: &&MemberUpdate| known.is_none_or(|k| m.incarnation > k.incarnation);
+        let own = own_record(from, message).filter(newer);
+        own.is_some_and(|m| m.address == *address)
+    }
+
     pub(super) fn message(
         &mut self,
         now: Instant,
@@ -59,7 +72,7 @@
         message: Message,
         out: &mut Vec<Action>,
     ) {
-        if self.view.get(from).is_none() && !introduces(from, &message) {
+        if self.view.get(from).is_none() && own_record(from, &message).is_none() {
             self.counters.error(ErrorKind::PeerUnknown);
             return;
         }
@@ -391,12 +404,12 @@
     }
 }
 
-/// Returns whether a message of an unknown member introduces its sender.
-fn introduces(from: MemberId, message: &Message) -> bool {
+/// Returns the record of its sender that a message carries, if any.
+fn own_record(from: MemberId, message: &Message) -> Option<&MemberUpdate> {
     match message {
         Message::Probe { gossip, .. } | Message::ProbeAnswer { gossip, .. } => {
-            gossip.members.iter().any(|m| m.id == from)
+            gossip.members.iter().find(|m| m.id == from)
         }
-        _ => false,
+        _ => None,
     }
 }
--- a/crates/cicadaweir-core/tests/routing.rs
+++ b/crates/cicadaweir-core/tests/routing.rs
@@ -355,3 +355,40 @@
     let out = driver.caller(quiet, PacketKind::Data);
     assert!(driver.forwarded(&out).is_some(), "the quiet one goes on");
 }
+
+#[test]
+fn a_member_speaks_from_its_known_address_or_introduces_a_newer_one() {
+    let driver = Driver::active(Options::default(), &[1], two_services());
+    let probe = |record: cicadaweir_core::membership::MemberUpdate| Message::Probe {
+        sequence: 1,
+        gossip: cicadaweir_core::message::Gossip {
+            members: vec![record],
+            ..Default::default()
+        },
+    };
+    let known = member(1).address;
+    let other = endpoint("10.1.0.99:7070");
+    let plain = Message::NotesWanted { have: Revision(0) };
+    assert!(driver.node.trusts(MemberId(1), &known, &plain));
+    assert!(!driver.node.trusts(MemberId(1), &other, &plain), "forged");
+    let mut replaced = member(1);
+    replaced.address = other;
+    assert!(
+        !driver.node.trusts(MemberId(1), &other, &probe(replaced)),
+        "not newer"
+    );
+    replaced.incarnation += 1;
+    assert!(
+        driver.node.trusts(MemberId(1), &other, &probe(replaced)),
+        "replaced"
+    );
+    assert!(
+        driver
+            .node
+            .trusts(MemberId(9), &member(9).address, &probe(member(9)))
+    );
+    assert!(
+        !driver.node.trusts(MemberId(9), &other, &probe(member(9))),
+        "not its own"
+    );
+}
--- a/crates/cicadaweird/src/daemon/engine.rs
+++ b/crates/cicadaweird/src/daemon/engine.rs
@@ -221,7 +221,7 @@
                     .error(err.kind(), format_args!("from {from}: {err}"));
             }
         };
-        if self.node.view().get(sender).is_some() && !self.is_address_of(sender, from) {
+        if !self.node.trusts(sender, &from.into(), &message) {
             return self.counters.error(
                 ErrorKind::PeerUnknown,
                 format_args!("{from} is not {sender}"),
