refactor: split the engine, recovery and the capacity measurement by job

Cause: a read as a newcomer: engine.rs took datagrams and turned the core, recovery.rs fetched and sent, capacity.rs measured everything.

--- a/crates/cicadaweir-core/src/node.rs
+++ b/crates/cicadaweir-core/src/node.rs
@@ -19,6 +19,7 @@
 mod silence;
 mod snapshots;
 mod status;
+mod transfers;
 
 use indexmap::IndexMap;
 
--- a/crates/cicadaweir-lab/src/capacity.rs
+++ b/crates/cicadaweir-lab/src/capacity.rs
@@ -4,6 +4,9 @@
 //! targets of some size, and times what a daemon does over and over. Slopes
 //! come from a least-squares line through the sizes.
 
+mod hand_over;
+mod messages;
+
 use std::{hint::black_box, sync::Arc, time::Instant as Clock};
 
 use cicadaweir_core::{
@@ -17,11 +20,9 @@
     prelude::*,
 };
 use cicadaweir_proto::codec;
-use cicadaweir_standins::{
-    site::Site,
-    target::{TargetOptions, TargetServer},
-};
-use cicadaweird::probe;
+
+pub use hand_over::{HandOver, hand_over};
+pub use messages::{codec_us, http_probe_us};
 
 /// The size of what one daemon knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -132,6 +133,10 @@
             most_flows: 1_000,
             ..Options::default()
         };
+        Self::with_options(size, options)
+    }
+
+    fn with_options(size: Size, options: Options) -> Self {
         let node = Node::new(options, KEY, member(0, 1), Instant::START);
         let mut bench = Self {
             node,
@@ -321,70 +326,6 @@
     (catalog.parts(), bytes as f64, install_ms)
 }
 
-/// Times encoding and decoding of a probe that carries six records of each
-/// sort, in microseconds.
-pub fn codec_us() -> f64 {
-    use cicadaweir_core::load::{LoadUpdate, Mark, MarkUpdate};
-    let gossip = Gossip {
-        members: (0..7).map(|id| member(id, 1)).collect(),
-        marks: (0..6)
-            .map(|n| MarkUpdate {
-                target: TargetKey(n),
-                version: 1,
-                mark: Mark::Hot,
-                remote: false,
-            })
-            .collect(),
-        loads: (0..6)
-            .map(|n| LoadUpdate {
-                target: TargetKey(n),
-                version: 1,
-                open: 1_000,
-                pending: 10,
-                rate: 100,
-            })
-            .collect(),
-        ..Gossip::default()
-    };
-    let message = Message::Probe {
-        sequence: 1,
-        gossip,
-    };
-    let mut buf = Vec::new();
-    time(20_000, |_| {
-        buf.clear();
-        codec::encode(MemberId(0), &message, &mut buf);
-        let _ = black_box(codec::decode(&buf));
-    })
-}
-
-/// Times probes of a stand-in target over HTTP, one after the other, in
-/// microseconds; the target's own part is included.
-///
-/// # Errors
-///
-/// The operating system's error if the target can't be started.
-pub fn http_probe_us() -> std::io::Result<f64> {
-    let site = Site {
-        number: 92,
-        entry_vms: 1,
-        zones: 1,
-    };
-    let _target = TargetServer::start(TargetOptions {
-        service: "board".into(),
-        name: "t1".into(),
-        endpoint: site.target(1),
-        entry_vms: Vec::new(),
-        probe: site.load(1),
-        connections: 1,
-        slots: 1,
-    })?;
-    let prober = probe::Prober::default();
-    Ok(time(500, |_| {
-        black_box(prober.probe(site.load(1)));
-    }))
-}
-
 /// Counts the bytes that a daemon sends in ten quiet seconds, its answers to
 /// as many probes as it sends included.
 fn quiet_bytes(bench: &mut Bench) -> f64 {
--- /dev/null
+++ b/crates/cicadaweir-lab/src/capacity/hand_over.rs
@@ -0,0 +1,121 @@
+//! What handing over exceptions costs.
+
+use std::time::Instant as Clock;
+
+use cicadaweir_core::{
+    catalog::Change,
+    flow::Protocol,
+    message::Message,
+    node::{self, Options},
+    prelude::*,
+};
+use cicadaweir_proto::codec;
+
+use super::{Bench, Size, target};
+
+/// The longest that a hand-over is waited for.
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(600);
+
+/// What handing over the exceptions of all slots costs.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct HandOver {
+    /// Flows that are remembered.
+    pub flows: usize,
+    /// Exceptions among them.
+    pub exceptions: usize,
+    /// The longest tick, in microseconds.
+    pub longest_us: f64,
+    /// The time that it takes on the node's clock, in milliseconds.
+    pub virtual_ms: u64,
+    /// The bytes that are sent.
+    pub bytes: usize,
+}
+
+/// Measures handing over the exceptions of a node that remembers many flows.
+pub fn hand_over(flows: u32) -> HandOver {
+    let mut options = Options {
+        most_flows: 2 * flows as usize,
+        ..Options::default()
+    };
+    options.load.refuse = false;
+    let size = Size {
+        members: 9,
+        services: 2,
+        targets: 18,
+    };
+    let mut bench = Bench::with_options(size, options);
+    bench.open_flows(0..flows);
+    bench.publish(vec![Change::AddTarget {
+        service: "s0".into(),
+        target: target(100_000),
+    }]);
+    bench.settle();
+    bench.open_flows(flows..flows + flows / 10);
+    let message = Message::ExceptionsWanted {
+        slots: (0..cicadaweir_core::membership::SLOTS as u16).collect(),
+        take_over: false,
+    };
+    bench.event(Event::Message {
+        from: MemberId(1),
+        message,
+    });
+    bench.run_hand_over()
+}
+
+impl Bench {
+    fn open_flows(&mut self, numbers: std::ops::Range<u32>) {
+        for number in numbers {
+            let [a, b, c, d] = number.to_be_bytes();
+            let caller = std::net::SocketAddr::from(([100 + a, b, c, d], 40_000));
+            let address = std::net::SocketAddr::from(([203, 0, 0, 0], 443));
+            let info = PacketInfo {
+                flow: FlowKey {
+                    protocol: Protocol::Tcp,
+                    caller: caller.into(),
+                    address: address.into(),
+                },
+                direction: Direction::ToTarget,
+                kind: PacketKind::Opening,
+                sequence: 0,
+                bytes: 60,
+            };
+            let packet = PacketRef(0);
+            self.event(Event::FromCaller { packet, info });
+        }
+    }
+
+    /// Lets time pass until the last exceptions are sent.
+    fn run_hand_over(&mut self) -> HandOver {
+        let started = self.now;
+        let mut result = HandOver {
+            flows: self.node.flows().len(),
+            ..HandOver::default()
+        };
+        loop {
+            self.now += node::TICK;
+            let clock = Clock::now();
+            self.node.handle(self.now, Event::Tick, &mut self.out);
+            let took = clock.elapsed().as_secs_f64() * 1e6;
+            result.longest_us = result.longest_us.max(took);
+            let mut ended = false;
+            for action in &self.out {
+                let Action::Send { message, .. } = action else {
+                    continue;
+                };
+                if let Message::Exceptions { flows, last, .. } = message {
+                    let mut buf = Vec::new();
+                    codec::encode(MemberId(0), message, &mut buf);
+                    result.bytes += buf.len();
+                    result.exceptions += flows.len();
+                    ended |= last;
+                }
+            }
+            self.answer_all();
+            if ended || self.now.since(started) > HAND_OVER_LIMIT {
+                break;
+            }
+        }
+        result.virtual_ms = self.now.since(started).as_millis();
+        result
+    }
+}
--- a/crates/cicadaweir-lab/src/commands/capacity.rs
+++ b/crates/cicadaweir-lab/src/commands/capacity.rs
@@ -83,6 +83,13 @@
             bytes / 1e3
         );
     }
+    for flows in [10_000, 100_000, 500_000] {
+        let h = capacity::hand_over(flows);
+        println!(
+            "hand-over of {} flows: {} exceptions, {} bytes, {} ms, longest tick {:.0} us",
+            h.flows, h.exceptions, h.bytes, h.virtual_ms, h.longest_us
+        );
+    }
     println!(
         "codec us      {:>8.2} a message with six records of each sort",
         capacity::codec_us()
--- a/crates/cicadaweird/src/daemon.rs
+++ b/crates/cicadaweird/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The loop: events in, actions out.
 
+mod datagrams;
 mod engine;
 mod handle;
 mod outputs;
--- a/crates/cicadaweird/src/daemon/engine.rs
+++ b/crates/cicadaweird/src/daemon/engine.rs
@@ -10,11 +10,9 @@
     hash,
     membership::{Health, MemberUpdate, Phase},
     node::Node,
-    packet::Direction,
     prelude::*,
     time,
 };
-use cicadaweir_proto::{codec, relay};
 
 use crate::{
     control::{ExplainBody, Query, Reply, StatusBody},
@@ -26,14 +24,9 @@
     settings::Settings,
     socket::BatchSocket,
     tracing::Tracer,
-    tunnel::{self, Inner},
 };
 
-use super::{
-    outputs::{Current, MESSAGE_MAGIC},
-    report::DaemonCounters,
-    stopping::Stopping,
-};
+use super::{outputs::Current, report::DaemonCounters, stopping::Stopping};
 
 /// Packets that may wait: for an answer of another entry VM, or for their turn
 /// on the way out.
@@ -56,11 +49,11 @@
     pub tracer: Tracer,
     pub pacer: Option<Pacer>,
     pub blocked: Vec<IpAddr>,
-    hash_key: hash::HashKey,
+    pub hash_key: hash::HashKey,
     started: Instant,
     reporter: Reporter,
     next_report: Instant,
-    stopping: Option<Stopping>,
+    pub stopping: Option<Stopping>,
     quiet_stop: Duration,
     stop_limit: Duration,
 }
@@ -118,158 +111,6 @@
         time::Instant::from_micros(self.started.elapsed().as_micros() as u64)
     }
 
-    /// Takes a datagram from the tunnel socket: from the fabric, or from a
-    /// target.
-    pub fn tunnel_datagram(
-        &mut self,
-        tunnel: &BatchSocket,
-        peer: &BatchSocket,
-        from: SocketAddr,
-        bytes: &[u8],
-    ) {
-        if self.blocked.contains(&from.ip()) {
-            return;
-        }
-        let direction = if from.ip() == self.fabric.ip() {
-            Direction::ToTarget
-        } else {
-            Direction::ToCaller
-        };
-        let Some(inner) = self.inner(bytes, from) else {
-            return;
-        };
-        let info = inner.info(direction);
-        let current = self.current(bytes, &info, 0);
-        let packet = current.packet;
-        let event = match direction {
-            Direction::ToTarget => Event::FromCaller { packet, info },
-            Direction::ToCaller => Event::FromTarget {
-                packet,
-                info,
-                from: from.into(),
-            },
-        };
-        self.trace(Some(current), "ingress", || info.flow.to_string());
-        self.step(tunnel, peer, event, Some(current));
-    }
-
-    fn inner(&mut self, bytes: &[u8], from: SocketAddr) -> Option<Inner> {
-        match tunnel::decapsulate(bytes).and_then(tunnel::read) {
-            Ok(inner) => Some(inner),
-            Err(kind) => {
-                self.counters.error(kind, format_args!("from {from}"));
-                None
-            }
-        }
-    }
-
-    fn current<'a>(&mut self, bytes: &'a [u8], info: &PacketInfo, trace: u64) -> Current<'a> {
-        if let Some(stopping) = &mut self.stopping {
-            stopping.packet(Instant::now());
-        }
-        let trace = if trace == 0 {
-            self.tracer
-                .sample(|| hash::flow(&self.hash_key, &info.flow))
-        } else {
-            trace
-        };
-        Current {
-            packet: self.pool.offer(),
-            flow: info.flow,
-            bytes,
-            trace,
-            arrived: if trace == 0 {
-                UNIX_EPOCH
-            } else {
-                SystemTime::now()
-            },
-        }
-    }
-
-    /// Takes a datagram from the peer socket: a message, or a relayed packet.
-    pub fn peer_datagram(
-        &mut self,
-        tunnel: &BatchSocket,
-        peer: &BatchSocket,
-        from: SocketAddr,
-        bytes: &[u8],
-    ) {
-        if self.blocked.contains(&from.ip()) {
-            return;
-        }
-        match bytes.first_chunk::<2>() {
-            Some(&MESSAGE_MAGIC) => self.message(tunnel, peer, from, &bytes[2..]),
-            Some(&relay::MAGIC) => self.relayed(tunnel, peer, from, bytes),
-            _ => self
-                .counters
-                .error(ErrorKind::PeerMalformed, format_args!("from {from}")),
-        }
-    }
-
-    fn message(
-        &mut self,
-        tunnel: &BatchSocket,
-        peer: &BatchSocket,
-        from: SocketAddr,
-        bytes: &[u8],
-    ) {
-        let (sender, message) = match codec::decode(bytes) {
-            Ok(decoded) => decoded,
-            Err(err) => {
-                return self
-                    .counters
-                    .error(err.kind(), format_args!("from {from}: {err}"));
-            }
-        };
-        if !self.node.trusts(sender, &from.into(), &message) {
-            return self.counters.error(
-                ErrorKind::PeerUnknown,
-                format_args!("{from} is not {sender}"),
-            );
-        }
-        let event = Event::Message {
-            from: sender,
-            message,
-        };
-        self.step(tunnel, peer, event, None);
-    }
-
-    fn is_address_of(&self, member: MemberId, from: SocketAddr) -> bool {
-        let known = self.node.view().get(member);
-        known.is_some_and(|m| m.record.address == from.into())
-    }
-
-    fn relayed(
-        &mut self,
-        tunnel: &BatchSocket,
-        peer: &BatchSocket,
-        from: SocketAddr,
-        bytes: &[u8],
-    ) {
-        let (header, trace, datagram) = match relay::decode(bytes) {
-            Ok(decoded) => decoded,
-            Err(kind) => return self.counters.error(kind, format_args!("from {from}")),
-        };
-        if !self.is_address_of(header.from, from) {
-            return self.counters.error(
-                ErrorKind::PeerUnknown,
-                format_args!("{from} is not {}", header.from),
-            );
-        }
-        let Some(inner) = self.inner(datagram, from) else {
-            return;
-        };
-        let info = inner.info(Direction::ToTarget);
-        let current = self.current(datagram, &info, trace);
-        let event = Event::Relayed {
-            packet: current.packet,
-            info,
-            header,
-        };
-        self.trace(Some(current), "relayed", || info.flow.to_string());
-        self.step(tunnel, peer, event, Some(current));
-    }
-
     /// Takes an input of a helper thread.
     pub fn input(&mut self, tunnel: &BatchSocket, peer: &BatchSocket, input: Input) {
         match input {
@@ -353,7 +194,7 @@
         shared.has_peers.store(has_peers, Ordering::Relaxed);
     }
 
-    fn step(
+    pub(super) fn step(
         &mut self,
         tunnel: &BatchSocket,
         peer: &BatchSocket,
