refactor: one predicate for vanished members, one choice of witnesses

Cause: a read of the whole change found the test for a member that ended without leaving twice, the choice of members to ask twice with two constants of one value, the test for a reachable member five times, and the time after which a refusal is safe twice. Change: Member::vanished and ::spoke, Node::witnesses, ::answers and ::nothing_is_delivered serve all of them.

--- a/crates/cicadaweir-core/src/membership/member.rs
+++ b/crates/cicadaweir-core/src/membership/member.rs
@@ -89,6 +89,16 @@
         self.record.health != Health::Dead && self.record.phase == Phase::Active
     }
 
+    /// Returns whether the member ended without having left.
+    pub fn vanished(&self) -> bool {
+        self.record.health == Health::Dead && self.record.phase != Phase::Left
+    }
+
+    /// Returns whether the member has spoken, and is not only listed.
+    pub fn spoke(&self) -> bool {
+        self.record.incarnation > 0
+    }
+
     /// Returns whether messages to the member make sense.
     pub fn reachable(&self) -> bool {
         self.record.health != Health::Dead
--- a/crates/cicadaweir-core/src/node/lookup.rs
+++ b/crates/cicadaweir-core/src/node/lookup.rs
@@ -87,8 +87,8 @@
         let slot = slot_of(seed, arrival.bucket);
         match self.recovery.knowing(slot) {
             Some(members) if info.flow.protocol == Protocol::Tcp => {
-                let reachable = |id: &&MemberId| self.view.get(**id).is_some_and(|m| m.reachable());
-                members.iter().filter(reachable).copied().collect()
+                let each = members.iter().copied();
+                each.filter(|&id| self.answers(id)).collect()
             }
             _ => self.witnesses(),
         }
@@ -96,7 +96,7 @@
 
     /// Returns the members to ask about a flow.
     pub(super) fn witnesses(&self) -> IndexSet<MemberId> {
-        let peers = self.view.peers().filter(|m| m.record.incarnation > 0);
+        let peers = self.view.peers().filter(|m| m.spoke());
         peers.map(|m| m.record.id).take(MOST_ASKED).collect()
     }
 
--- a/crates/cicadaweir-core/src/node/packets.rs
+++ b/crates/cicadaweir-core/src/node/packets.rs
@@ -3,7 +3,7 @@
 use crate::{
     flow::{FlowEntry, FlowFlags, FlowState, FlowTable},
     hash,
-    membership::Phase,
+    membership::Member,
     placement,
     prelude::*,
     route::{Decision, MOST_HOPS, Outlook, Reason, RelayHeader},
@@ -55,10 +55,8 @@
 
     /// Returns whether a member vanished a short while ago.
     pub(super) fn member_is_missing(&self, now: Instant) -> bool {
-        self.view.iter().any(|m| {
-            let gone = !m.reachable() && m.record.phase != Phase::Left;
-            gone && now.since(m.since) < DOUBT
-        })
+        let recently = |m: &Member| now.since(m.since) < DOUBT;
+        self.view.iter().any(|m| m.vanished() && recently(m))
     }
 
     /// Without any catalog this entry VM cannot say that nobody has the
--- a/crates/cicadaweir-core/src/node/placing.rs
+++ b/crates/cicadaweir-core/src/node/placing.rs
@@ -4,7 +4,7 @@
     flow::Protocol,
     hash,
     load::Mark,
-    membership::{Member, Phase},
+    membership::Member,
     prelude::*,
     route::{Decision, Outlook, Policy, Reason},
 };
@@ -85,9 +85,7 @@
     /// than callers wait before they repeat an opening, and deferred until
     /// then, or while a member is missing that may see targets up.
     fn kind_without_target(&self, now: Instant, primary: TargetKey) -> ErrorKind {
-        let down_since = self.targets[primary.0 as usize].marked_since;
-        let settled = now.since(down_since) >= self.options.load.refuse_after;
-        if settled && !self.member_is_missing(now) {
+        if self.nothing_is_delivered(now, primary) {
             ErrorKind::NoTarget
         } else {
             ErrorKind::Deferred
@@ -116,15 +114,12 @@
         if !self.guards(Guard::Witness) {
             return false;
         }
-        let heard = |m: &&Member| m.record.incarnation > 0;
-        if self.view.peers().filter(heard).count() > MOST_ASKED {
+        if self.view.peers().filter(|m| m.spoke()).count() > MOST_ASKED {
             return true;
         }
         let horizon = self.options.repeat_horizon;
-        self.view.iter().any(|m| {
-            let gone = !m.reachable() && m.record.phase != Phase::Left;
-            gone && (m.listed || now.since(m.since) < horizon)
-        })
+        let concerned = |m: &Member| m.listed || now.since(m.since) < horizon;
+        self.view.iter().any(|m| m.vanished() && concerned(m))
     }
 
     /// Returns whether every member has, for as long as callers repeat a
@@ -141,7 +136,7 @@
     }
 
     /// Chooses between a bucket's target and its alternatives by marks.
-    fn choose(&mut self, now: Instant, arrival: &Arrival, primary: TargetKey) -> Option<TargetKey> {
+    fn choose(&self, now: Instant, arrival: &Arrival, primary: TargetKey) -> Option<TargetKey> {
         let mark = self.catalog.target(primary).mark;
         match mark {
             Mark::Normal | Mark::Settled => Some(primary),
@@ -208,11 +203,15 @@
     /// longer than callers wait before they repeat one, and no member is
     /// missing that may have delivered one all the same.
     fn may_refuse(&self, now: Instant, target: TargetKey) -> bool {
-        let state = &self.targets[target.0 as usize];
-        let known_for = now.since(state.marked_since);
         let mark = self.catalog.target(target).mark;
-        let settled = mark == Mark::Hot && known_for >= self.options.load.refuse_after;
-        settled && !self.member_is_missing(now)
+        mark == Mark::Hot && self.nothing_is_delivered(now, target)
+    }
+
+    /// Returns whether a target's mark is known for longer than callers wait
+    /// before they repeat an opening, and no member is missing.
+    fn nothing_is_delivered(&self, now: Instant, target: TargetKey) -> bool {
+        let known_for = now.since(self.targets[target.0 as usize].marked_since);
+        known_for >= self.options.load.refuse_after && !self.member_is_missing(now)
     }
 
     /// Places a flow as one of the baselines would.
--- a/crates/cicadaweir-core/src/node/recovery.rs
+++ b/crates/cicadaweir-core/src/node/recovery.rs
@@ -36,9 +36,6 @@
 /// Requests for the same exceptions before they are given up.
 const FETCH_TRIES: u32 = 4;
 
-/// The most members that are asked for what a lost owner recorded.
-const MOST_WITNESSES: usize = 8;
-
 /// Exceptions that are wanted from one member.
 #[derive(Debug, Clone)]
 struct Fetch {
@@ -203,7 +200,7 @@
     }
 
     fn prefetch(&mut self, owner: MemberId, slot: u16) {
-        if self.view.get(owner).is_some_and(|m| m.reachable()) {
+        if self.answers(owner) {
             self.recovery.fetch(owner, slot);
         }
     }
@@ -211,12 +208,10 @@
     /// Returns whom to ask for the exceptions of a slot: its last owner, or
     /// if that one is gone, those who may have forwarded its flows.
     fn sources(&self, before: Option<MemberId>) -> Vec<MemberId> {
-        let known = before.and_then(|id| self.view.get(id));
-        if let Some(owner) = known.filter(|m| m.reachable()) {
-            return vec![owner.record.id];
+        match before.filter(|&id| self.answers(id)) {
+            Some(owner) => vec![owner],
+            None => self.witnesses().into_iter().collect(),
         }
-        let peers = self.view.peers().filter(|m| m.record.incarnation > 0);
-        peers.map(|m| m.record.id).take(MOST_WITNESSES).collect()
     }
 
     pub(super) fn tick_recovery(&mut self, now: Instant, out: &mut Vec<Action>) {
