--- a/crates/cicadaweir-core/src/lib.rs
+++ b/crates/cicadaweir-core/src/lib.rs
@@ -16,6 +16,8 @@
 //! | [`load`] | which targets take no or less new work, and who is refused |
 //! | [`pace`] | which queued answer leaves next |
 //! | [`request`] | the admission unit: queue, slots, deadline, at-most-once |
+//! | [`mirror`] | when to read the store, and what its answers change |
+//! | [`steer`] | where a packet goes that names its target itself |
 //! | [`node`] | one entry VM: all of the above behind one event loop |
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
@@ -30,6 +32,7 @@
 pub mod load;
 pub mod membership;
 pub mod message;
+pub mod mirror;
 pub mod node;
 pub mod pace;
 pub mod packet;
@@ -37,4 +40,5 @@
 pub mod prelude;
 pub mod request;
 pub mod route;
+pub mod steer;
 pub mod time;
--- /dev/null
+++ b/crates/cicadaweir-core/src/steer/cookie.rs
@@ -0,0 +1,42 @@
+//! The bytes of a packet that name its target.
+
+use std::fmt;
+
+/// The identity of one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Identity(pub u64);
+
+/// What a packet carries to name its target; [`Cookie::NONE`] names none.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Cookie(pub u32);
+
+impl Cookie {
+    /// The cookie of a packet that no entry VM has placed.
+    pub const NONE: Self = Self(0);
+
+    /// Returns the cookie of a target: its identity, folded to 32 bits.
+    ///
+    /// Two identities can share a cookie; [`super::Directory`] then places
+    /// flows on one of them only.
+    pub const fn of(identity: Identity) -> Self {
+        let folded = (identity.0 ^ (identity.0 >> 32)) as u32;
+        if folded == 0 { Self(1) } else { Self(folded) }
+    }
+
+    /// Returns whether the packet names a target.
+    pub const fn is_some(self) -> bool {
+        self.0 != 0
+    }
+}
+
+impl fmt::Display for Identity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+impl fmt::Display for Cookie {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/cicadaweir-core/src/steer/options.rs
@@ -0,0 +1,62 @@
+//! Bounds of steering.
+
+use crate::time::Duration;
+
+/// How flows are remembered, weighed and given up.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Options {
+    /// The most flows that are remembered; further ones go by cookie alone.
+    pub most_flows: usize,
+    /// How long an opening without an end is remembered: longer than a
+    /// caller repeats it.
+    pub opening_memory: Duration,
+    /// How long a closed flow is remembered, for packets that come late.
+    pub closed_memory: Duration,
+    /// How long a flow may be open; older ones may be forgotten.
+    pub flow_ttl: Duration,
+    /// How long a target stays known after its entry has left the store.
+    pub departed_memory: Duration,
+    /// How long a request counts as in flight at most.
+    pub request_memory: Duration,
+    /// How long a suspected target is avoided at first.
+    pub suspicion_hold: Duration,
+    /// The longest time for which a suspected target is avoided.
+    pub longest_hold: Duration,
+    /// Suspected targets of an availability zone that make the zone suspected.
+    pub zone_strikes: u32,
+    /// How long a request must have gone unanswered, repetitions included,
+    /// before its flow is reset.
+    pub reset_after: Duration,
+    /// How recent the view of the store must be for a reset that rests on it.
+    pub fresh_view: Duration,
+    /// What an open flow weighs in a target's score, in requests in flight.
+    pub flow_weight: f32,
+    /// What a request of the last second weighs, in requests in flight.
+    pub rate_weight: f32,
+    /// What another availability zone weighs, in requests in flight.
+    pub zone_weight: f32,
+    /// How much more a request weighs on a target that has just started.
+    pub warmup_factor: f32,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            most_flows: 65_536,
+            opening_memory: Duration::from_millis(2_500),
+            closed_memory: Duration::from_millis(2_000),
+            flow_ttl: Duration::from_secs(60),
+            departed_memory: Duration::from_secs(75),
+            request_memory: Duration::from_millis(2_500),
+            suspicion_hold: Duration::from_millis(1_500),
+            longest_hold: Duration::from_millis(6_000),
+            zone_strikes: 2,
+            reset_after: Duration::from_millis(550),
+            fresh_view: Duration::from_millis(4_000),
+            flow_weight: 0.15,
+            rate_weight: 0.3,
+            zone_weight: 0.3,
+            warmup_factor: 1.6,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -0,0 +1,535 @@
+//! Where each packet goes.
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::{
+    catalog::{ServiceKey, TargetKey, ZoneId},
+    packet::PacketKind,
+    time::{Duration, Instant},
+};
+
+use super::{
+    Applied, Candidate, Change, Directory, DropReason, Expired, FlowPhase, FlowState, Flows,
+    Observation, OpeningInputs, Options, Presence, Progress, ResetReason, Segment, Suspicion,
+    TargetEntry, Trust, Verdict, Work, WorkKind, ZoneSet, choose,
+};
+
+/// What has been decided so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Counters {
+    /// Openings that were placed.
+    pub placed: u64,
+    /// Repeated openings that were placed.
+    pub repeated_openings: u64,
+    /// Packets that followed their flow.
+    pub forwarded: u64,
+    /// Flows that another entry VM had placed.
+    pub adopted: u64,
+    /// Requests whose answer has begun.
+    pub answered: u64,
+    /// Requests that callers repeated.
+    pub repeated_requests: u64,
+    /// Targets that became suspected.
+    pub suspected: u64,
+    /// Suspected targets that answered again.
+    pub cleared: u64,
+    /// Resets by reason, in the order of [`ResetReason`].
+    pub resets: [u64; 4],
+    /// Dropped packets by reason, in the order of [`DropReason`].
+    pub drops: [u64; 4],
+}
+
+/// One entry VM's decisions about packets that name their target.
+#[derive(Debug)]
+pub struct Steering {
+    options: Options,
+    zone: ZoneId,
+    directory: Directory,
+    flows: Flows,
+    work: Vec<Work>,
+    suspicion: Vec<Suspicion>,
+    zone_answers: Vec<Option<Instant>>,
+    viewed_at: Option<Instant>,
+    observations: Vec<Observation>,
+    counters: Counters,
+    rng: Pcg64Mcg,
+}
+
+impl Steering {
+    /// Makes the decisions of an entry VM in the named availability zone.
+    pub fn new(options: Options, zone: &str, seed: u64) -> Self {
+        let mut directory = Directory::default();
+        let zone = directory.zone(zone);
+        Self {
+            options,
+            zone,
+            directory,
+            flows: Flows::default(),
+            work: Vec::new(),
+            suspicion: Vec::new(),
+            zone_answers: Vec::new(),
+            viewed_at: None,
+            observations: Vec::new(),
+            counters: Counters::default(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// Returns the routes and targets.
+    pub const fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// Returns what has been decided so far.
+    pub const fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Returns the work of a target.
+    pub fn work(&self, target: TargetKey) -> Work {
+        self.work
+            .get(target.0 as usize)
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Returns how far a target is trusted.
+    pub fn trust(&self, now: Instant, target: TargetKey) -> Trust {
+        let at = target.0 as usize;
+        self.suspicion
+            .get(at)
+            .map_or(Trust::Trusted, |s| s.trust(now))
+    }
+
+    /// Returns how many flows are remembered.
+    pub fn flow_count(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Returns whether routes are known, so that packets can be served.
+    pub const fn is_ready(&self) -> bool {
+        self.directory.version().is_some()
+    }
+
+    /// Notes that the view of the store was found complete.
+    pub fn viewed(&mut self, now: Instant) {
+        self.viewed_at = Some(now);
+    }
+
+    /// Returns how old the view of the store is.
+    pub fn view_age(&self, now: Instant) -> Option<Duration> {
+        self.viewed_at.map(|at| now.since(at))
+    }
+
+    /// Takes what was learned since the last call.
+    pub fn take_observations(&mut self, into: &mut Vec<Observation>) {
+        into.append(&mut self.observations);
+    }
+
+    /// Takes in news of the store.
+    pub fn apply(&mut self, now: Instant, change: Change) -> Applied {
+        let applied = self.directory.apply(now, change);
+        let capacity = self.directory.capacity();
+        self.work.resize(capacity, Work::default());
+        self.suspicion.resize(capacity, Suspicion::default());
+        self.zone_answers.resize(self.directory.zone_count(), None);
+        if let Applied::NewTarget(key) = applied {
+            self.suspicion[key.0 as usize] = Suspicion::default();
+        }
+        applied
+    }
+
+    /// Decides where a packet goes.
+    pub fn packet(&mut self, now: Instant, segment: &Segment) -> Verdict {
+        let verdict = match segment.kind {
+            PacketKind::Opening => self.opening(now, segment),
+            PacketKind::OpeningAnswer | PacketKind::Datagram => {
+                Verdict::Drop(DropReason::Unexpected)
+            }
+            _ => self.later(now, segment),
+        };
+        self.count(&verdict);
+        verdict
+    }
+
+    /// Forgets what is over; to be called a few times a second.
+    pub fn tick(&mut self, now: Instant) {
+        let options = self.options;
+        let idle = options.flow_ttl.max(self.directory.idle_timeout());
+        let work = &mut self.work;
+        self.flows.expire(now, idle, &options, |flow, expired| {
+            let work = &mut work[flow.target.0 as usize];
+            match expired {
+                Expired::Request => work.request_ended(),
+                Expired::Flow => forget(work, flow),
+            }
+        });
+        let (work, suspicion) = (&mut self.work, &mut self.suspicion);
+        self.directory
+            .forget_departed(now, options.departed_memory, |key| {
+                work[key.0 as usize] = Work::default();
+                suspicion[key.0 as usize] = Suspicion::default();
+            });
+    }
+
+    fn opening(&mut self, now: Instant, segment: &Segment) -> Verdict {
+        let known = self.flows.get_mut(&segment.flow).copied();
+        if let Some(flow) = known.filter(|flow| flow.phase == FlowPhase::Open) {
+            return Verdict::Forward {
+                target: flow.target,
+                adopted: false,
+            };
+        }
+        let Some((service, kind)) = self
+            .directory
+            .route(&segment.flow.address, self.rng.next_u64())
+        else {
+            return self.without_route(now);
+        };
+        let earlier = known.filter(|flow| flow.phase == FlowPhase::Opening);
+        if let Some(flow) = known {
+            self.flows.remove(&segment.flow);
+            forget(&mut self.work[flow.target.0 as usize], &flow);
+        }
+        if let Some(flow) = earlier {
+            self.strike(now, flow.target, flow.since);
+        }
+        let avoid = earlier.map(|flow| flow.target);
+        let Some((target, inputs)) = self.place(now, service, avoid) else {
+            return Verdict::Reset(ResetReason::NoTarget);
+        };
+        let mut state = FlowState::opening(target, kind, now);
+        state.first_opening = earlier.map_or(now, |flow| flow.first_opening);
+        if self
+            .flows
+            .insert(segment.flow, state, self.options.most_flows)
+        {
+            let work = &mut self.work[target.0 as usize];
+            work.flow_opened();
+            work.request_started(now);
+        }
+        if segment.copy > 0 {
+            self.counters.repeated_openings += 1;
+        }
+        Verdict::Place { target, inputs }
+    }
+
+    fn without_route(&self, now: Instant) -> Verdict {
+        if self.has_fresh_view(now) {
+            Verdict::Reset(ResetReason::NoRoute)
+        } else {
+            Verdict::Drop(DropReason::RouteUnknown)
+        }
+    }
+
+    fn has_fresh_view(&self, now: Instant) -> bool {
+        let age = self.view_age(now);
+        self.is_ready() && age.is_some_and(|age| age <= self.options.fresh_view)
+    }
+
+    fn place(
+        &mut self,
+        now: Instant,
+        service: ServiceKey,
+        avoid: Option<TargetKey>,
+    ) -> Option<(TargetKey, OpeningInputs)> {
+        let mut inputs = OpeningInputs::default();
+        let mut best_trust = Trust::Suspected;
+        let silent = self.silent_zones(now);
+        for &key in self.directory.members(service) {
+            let takes = self
+                .directory
+                .target(key)
+                .is_some_and(TargetEntry::takes_openings);
+            if takes {
+                inputs.candidates += 1;
+                let trust = self.trust_in(now, key, silent);
+                inputs.trusted += u32::from(trust == Trust::Trusted);
+                if Some(key) != avoid {
+                    best_trust = best_trust.min(trust);
+                }
+            }
+        }
+        let on_trial = self.trial(now, service, avoid, silent);
+        let chosen = on_trial.or_else(|| {
+            let (directory, members) = (&self.directory, self.directory.members(service));
+            let candidates = members.iter().filter_map(|&key| {
+                let entry = directory
+                    .target(key)
+                    .filter(|entry| entry.takes_openings())?;
+                let usable = Some(key) != avoid && self.trust_in(now, key, silent) <= best_trust;
+                usable.then(|| Candidate {
+                    target: key,
+                    score: self.score(now, key, entry),
+                })
+            });
+            choose(candidates, &mut self.rng.clone())
+        });
+        self.rng.next_u32();
+        let chosen = chosen.or_else(|| {
+            let entry = self.directory.target(avoid?)?;
+            entry.takes_openings().then(|| Candidate {
+                target: avoid.unwrap_or(TargetKey(0)),
+                score: f32::INFINITY,
+            })
+        })?;
+        inputs.score = chosen.score;
+        inputs.in_flight = self.work(chosen.target).in_flight as f32;
+        Some((chosen.target, inputs))
+    }
+
+    /// Picks a target that was suspected and may be tried with one flow.
+    fn trial(
+        &mut self,
+        now: Instant,
+        service: ServiceKey,
+        avoid: Option<TargetKey>,
+        silent: ZoneSet,
+    ) -> Option<Candidate> {
+        if avoid.is_some() {
+            return None;
+        }
+        let members = self.directory.members(service);
+        let key = members.iter().copied().find(|&key| {
+            self.trust_in(now, key, silent) == Trust::OnTrial
+                && self
+                    .directory
+                    .target(key)
+                    .is_some_and(TargetEntry::takes_openings)
+        })?;
+        let entry = self.directory.target(key)?;
+        let score = self.score(now, key, entry);
+        self.suspicion[key.0 as usize].begin_trial(now, self.options.suspicion_hold);
+        Some(Candidate { target: key, score })
+    }
+
+    fn score(&self, now: Instant, key: TargetKey, entry: &TargetEntry) -> f32 {
+        let o = &self.options;
+        let work = self.work(key);
+        let load = work.in_flight as f32
+            + o.flow_weight * work.open as f32
+            + o.rate_weight * work.recent(now);
+        let slowness = if now < entry.warm_at {
+            o.warmup_factor
+        } else {
+            1.0
+        };
+        let away = if entry.zone == self.zone {
+            0.0
+        } else {
+            o.zone_weight
+        };
+        (load * slowness + away) / entry.slots as f32
+    }
+
+    fn later(&mut self, now: Instant, segment: &Segment) -> Verdict {
+        let Some(mut flow) = self.flows.get_mut(&segment.flow).copied() else {
+            return self.adopt(now, segment);
+        };
+        let placed = flow.phase == FlowPhase::Opening;
+        if let Some(named) = placed
+            .then(|| self.directory.by_cookie(segment.cookie))
+            .flatten()
+            && named != flow.target
+        {
+            self.move_flow(&mut flow, named, now);
+        }
+        let progress = flow.observe(segment, now);
+        self.flows.insert(segment.flow, flow, usize::MAX);
+        self.note(now, &flow, progress);
+        let reset = progress
+            .repeated
+            .and_then(|since| self.give_up(now, &flow, since));
+        match reset {
+            Some(reason) => {
+                self.flows.remove(&segment.flow);
+                forget(&mut self.work[flow.target.0 as usize], &flow);
+                Verdict::Reset(reason)
+            }
+            None => Verdict::Forward {
+                target: flow.target,
+                adopted: false,
+            },
+        }
+    }
+
+    /// Follows the caller's choice among several targets that answered
+    /// copies of its opening.
+    fn move_flow(&mut self, flow: &mut FlowState, to: TargetKey, now: Instant) {
+        forget(&mut self.work[flow.target.0 as usize], flow);
+        flow.target = to;
+        let work = &mut self.work[to.0 as usize];
+        work.flow_opened();
+        if flow.request_since.is_some() {
+            work.request_started(now);
+        }
+    }
+
+    fn adopt(&mut self, now: Instant, segment: &Segment) -> Verdict {
+        if !self.is_ready() {
+            return Verdict::Drop(DropReason::RouteUnknown);
+        }
+        let Some(target) = self.directory.by_cookie(segment.cookie) else {
+            return Verdict::Drop(DropReason::TargetUnknown);
+        };
+        let Some(entry) = self.directory.target(target) else {
+            return Verdict::Drop(DropReason::TargetUnknown);
+        };
+        let kind = match self.directory.allows(&segment.flow.address, entry.service) {
+            Some((true, kind)) => kind,
+            Some((false, _)) => return Verdict::Drop(DropReason::OtherService),
+            None => return self.without_route(now),
+        };
+        let mut flow = FlowState::adopted(target, kind, segment, now);
+        let progress = flow.observe(segment, now);
+        if self
+            .flows
+            .insert(segment.flow, flow, self.options.most_flows)
+        {
+            self.work[target.0 as usize].flow_opened();
+            self.note(now, &flow, progress);
+        }
+        Verdict::Forward {
+            target,
+            adopted: true,
+        }
+    }
+
+    fn note(&mut self, now: Instant, flow: &FlowState, progress: Progress) {
+        let at = flow.target.0 as usize;
+        if progress.answered {
+            self.answered(now, flow.target);
+        }
+        let work = &mut self.work[at];
+        if let Some(took) = progress.opening_took {
+            self.observations
+                .push(Observation::OpeningAnswered { took });
+        }
+        if let Some(took) = progress.request_took {
+            self.counters.answered += 1;
+            self.observations
+                .push(Observation::RequestAnswered { took });
+        }
+        if progress.request_ended {
+            work.request_ended();
+        }
+        if progress.request_started {
+            work.request_started(now);
+        }
+        if progress.closed {
+            work.flow_closed();
+        }
+        if let Some(since) = progress.repeated {
+            self.counters.repeated_requests += 1;
+            self.strike(now, flow.target, since);
+        }
+    }
+
+    fn answered(&mut self, now: Instant, target: TargetKey) {
+        if let Some(entry) = self.directory.target(target) {
+            let zone = usize::from(entry.zone.0);
+            self.zone_answers[zone] = Some(now);
+        }
+        if self.suspicion[target.0 as usize].answered(now) {
+            self.counters.cleared += 1;
+            self.observations.push(Observation::Cleared { target });
+        }
+    }
+
+    fn strike(&mut self, now: Instant, target: TargetKey, sent: Instant) {
+        let suspicion = &mut self.suspicion[target.0 as usize];
+        if suspicion.strike(now, sent, &self.options) {
+            self.counters.suspected += 1;
+            let silent = now.since(sent);
+            self.observations
+                .push(Observation::Suspected { target, silent });
+        }
+    }
+
+    /// Returns how far a target is trusted, its availability zone included.
+    fn trust_in(&self, now: Instant, target: TargetKey, silent: ZoneSet) -> Trust {
+        let own = self.trust(now, target);
+        let zone = self.directory.target(target).map(|entry| entry.zone);
+        if own == Trust::Trusted && zone.is_some_and(|zone| silent.contains(zone)) {
+            return Trust::Suspected;
+        }
+        own
+    }
+
+    /// Returns the availability zones that seem cut off: several of a zone's
+    /// targets went unanswered, none of its targets has answered since, and
+    /// other zones have.
+    fn silent_zones(&self, now: Instant) -> ZoneSet {
+        let mut strikes = [(0u32, now); ZoneSet::MOST];
+        for (key, entry) in self.directory.targets() {
+            let suspicion = &self.suspicion[key.0 as usize];
+            if let Some(silent) = suspicion.silent_since()
+                && suspicion.trust(now) == Trust::Suspected
+                && let Some((count, since)) = strikes.get_mut(usize::from(entry.zone.0))
+            {
+                *count += 1;
+                *since = (*since).min(silent);
+            }
+        }
+        let mut set = ZoneSet::default();
+        for (zone, &(count, since)) in strikes.iter().enumerate() {
+            let mut answers = self.zone_answers.iter().enumerate();
+            let answered = |at: &Option<Instant>| at.is_some_and(|at| at > since);
+            let here = self.zone_answers.get(zone).is_some_and(answered);
+            if count >= self.options.zone_strikes
+                && !here
+                && answers.any(|(other, at)| other != zone && answered(at))
+            {
+                set.insert(ZoneId(zone as u16));
+            }
+        }
+        set
+    }
+
+    /// Decides whether a flow whose caller repeats itself is to be reset.
+    ///
+    /// A reset is allowed only where the target itself must be gone: its
+    /// entry has left the store, or nobody gets an answer from it.
+    fn give_up(&self, now: Instant, flow: &FlowState, since: Instant) -> Option<ResetReason> {
+        if now.since(since) < self.options.reset_after {
+            return None;
+        }
+        let suspicion = &self.suspicion[flow.target.0 as usize];
+        let silent = suspicion.silent_since().is_some_and(|at| at <= since);
+        if !silent || !self.has_fresh_view(now) {
+            return None;
+        }
+        let entry = self.directory.target(flow.target)?;
+        match entry.presence {
+            Presence::Departed { .. } => Some(ResetReason::TargetGone),
+            Presence::Listed => {
+                let certain = suspicion.strikes() >= 3 && flow.kind != WorkKind::AtMostOnce;
+                (certain && self.silent_zones(now).contains(entry.zone))
+                    .then_some(ResetReason::TargetSilent)
+            }
+        }
+    }
+
+    fn count(&mut self, verdict: &Verdict) {
+        let c = &mut self.counters;
+        match verdict {
+            Verdict::Place { .. } => c.placed += 1,
+            Verdict::Forward { adopted, .. } => {
+                c.forwarded += 1;
+                c.adopted += u64::from(*adopted);
+            }
+            Verdict::Reset(reason) => c.resets[*reason as usize] += 1,
+            Verdict::Drop(reason) => c.drops[*reason as usize] += 1,
+        }
+    }
+}
+
+fn forget(work: &mut Work, flow: &FlowState) {
+    if flow.phase != FlowPhase::Closed {
+        work.flow_closed();
+    }
+    if flow.request_since.is_some() {
+        work.request_ended();
+    }
+}
--- a/crates/cicadaweird/src/inbox.rs
+++ b/crates/cicadaweird/src/inbox.rs
@@ -38,21 +38,30 @@
 }
 
 /// The sending end; wakes the loop.
-#[derive(Debug, Clone)]
-pub struct Inbox {
-    tx: Sender<Input>,
+#[derive(Debug)]
+pub struct Inbox<T = Input> {
+    tx: Sender<T>,
     waker: Arc<mio::Waker>,
 }
 
-impl Inbox {
+impl<T> Clone for Inbox<T> {
+    fn clone(&self) -> Self {
+        Self {
+            tx: self.tx.clone(),
+            waker: Arc::clone(&self.waker),
+        }
+    }
+}
+
+impl<T> Inbox<T> {
     /// Makes an inbox that wakes a loop.
-    pub fn new(waker: Arc<mio::Waker>) -> (Self, Receiver<Input>) {
+    pub fn new(waker: Arc<mio::Waker>) -> (Self, Receiver<T>) {
         let (tx, rx) = channel();
         (Self { tx, waker }, rx)
     }
 
     /// Sends an input; returns whether the loop still runs.
-    pub fn send(&self, input: Input) -> bool {
+    pub fn send(&self, input: T) -> bool {
         self.tx.send(input).is_ok() && self.waker.wake().is_ok()
     }
 }
--- a/crates/cicadaweird/src/lib.rs
+++ b/crates/cicadaweird/src/lib.rs
@@ -9,6 +9,8 @@
 //! |---|---|
 //! | [`settings`] | the settings file, checked as a whole |
 //! | [`daemon`] | the loop: events in, actions out |
+//! | [`steered`] | the same for packets that name their target |
+//! | [`logs`] | bounded log lines that never block |
 //! | [`tunnel`] | Geneve and the inner packet |
 //! | [`socket`] | batched UDP |
 //! | [`platform`] | the store and the membership list, behind one trait |
@@ -23,6 +25,7 @@
 pub mod control;
 pub mod daemon;
 pub mod inbox;
+pub mod logs;
 pub mod metrics;
 pub mod pacer;
 pub mod platform;
@@ -30,5 +33,6 @@
 pub mod probe;
 pub mod settings;
 pub mod socket;
+pub mod steered;
 pub mod tracing;
 pub mod tunnel;
--- a/crates/cicadaweird/src/main.rs
+++ b/crates/cicadaweird/src/main.rs
@@ -3,7 +3,13 @@
 use std::{io::Write, process::ExitCode, thread};
 
 use bpaf::Bpaf;
-use cicadaweird::{daemon, inbox::Inbox, inbox::Input, settings::Settings};
+use cicadaweird::{
+    daemon,
+    inbox::{Inbox, Input},
+    logs,
+    settings::Carrier,
+    steered,
+};
 use log::{error, info};
 use signal_hook::{
     consts::{SIGHUP, SIGINT, SIGTERM},
@@ -26,8 +32,8 @@
 
 fn main() -> ExitCode {
     let arguments = arguments().run();
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let settings = match Settings::load(&arguments.settings) {
+    logs::start();
+    let settings = match Carrier::load(&arguments.settings) {
         Ok(settings) => settings,
         Err(err) => {
             let _ = writeln!(std::io::stderr(), "{}: {err}", arguments.settings);
@@ -42,7 +48,13 @@
         );
         return ExitCode::SUCCESS;
     }
-    match daemon::run(settings, watch_signals) {
+    let ended = match settings {
+        Carrier::Geneve(settings) => daemon::run(*settings, watch_signals),
+        Carrier::Cookie(settings) => {
+            steered::run(*settings, &arguments.settings, steered::watch_signals)
+        }
+    };
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             error!("{err}");
--- a/crates/cicadaweird/src/socket.rs
+++ b/crates/cicadaweird/src/socket.rs
@@ -39,7 +39,12 @@
 impl Batch {
     /// Makes the buffers for a socket.
     pub fn new(socket: &BatchSocket) -> Self {
-        let stride = DATAGRAM_BYTES * socket.state.gro_segments().clamp(1, 7);
+        Self::for_datagrams(socket, DATAGRAM_BYTES)
+    }
+
+    /// Makes the buffers for datagrams of at most `bytes` each.
+    pub fn for_datagrams(socket: &BatchSocket, bytes: usize) -> Self {
+        let stride = bytes * socket.state.gro_segments().clamp(1, 7);
         Self {
             bytes: vec![0; stride * BATCH_SIZE],
             metas: [RecvMeta::default(); BATCH_SIZE],
--- /dev/null
+++ b/crates/cicadaweird/src/steered/client.rs
@@ -0,0 +1,147 @@
+//! One call of the platform's store over HTTP.
+
+use std::{fmt, net::SocketAddr, time::Duration};
+
+use cicadaweir_core::mirror::{Answer, Item};
+use cicadaweir_platform::store::{self, Event};
+use ureq::Agent;
+
+/// How long a connection may take: several times the store's usual answer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long a read may take: a store that is fifty times slower than its
+/// usual 4 ms is still served from.
+const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// How long a watch may take beyond the wait that it asks for.
+const WATCH_SLACK: Duration = Duration::from_millis(700);
+
+/// The largest answer, in bytes: 500 items or 1 MB of values in base64.
+const MOST_BYTES: u64 = 4 << 20;
+
+/// Why a call failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreError {
+    /// No answer: whether the call took effect is not known.
+    Unavailable(String),
+    /// The store answered that it does not serve now.
+    Status(u16),
+    /// The answer does not decode.
+    Malformed(String),
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unavailable(why) => write!(f, "no answer: {why}"),
+            Self::Status(code) => write!(f, "status {code}"),
+            Self::Malformed(why) => f.write_str(why),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+/// A client of the store.
+#[derive(Debug, Clone)]
+pub struct StoreClient {
+    agent: Agent,
+    address: SocketAddr,
+}
+
+impl StoreClient {
+    /// Makes a client; nothing is sent yet.
+    pub fn new(address: SocketAddr) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_connect(Some(CONNECT_TIMEOUT))
+            .max_idle_connections(1)
+            .build();
+        Self {
+            agent: config.into(),
+            address,
+        }
+    }
+
+    /// Reads a page of keys.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] if the store did not answer, or not sensibly.
+    pub fn range(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        stale: bool,
+    ) -> Result<Answer, StoreError> {
+        let path = store::range_path(prefix, after, stale);
+        let (status, body) = self.get(&path, READ_TIMEOUT)?;
+        if status != 200 {
+            return Err(StoreError::Status(status));
+        }
+        let page = store::page_from(&body).map_err(malformed)?;
+        Ok(Answer::Page {
+            items: page.items.into_iter().map(written).collect(),
+            has_more: page.has_more,
+            as_of: page.as_of,
+        })
+    }
+
+    /// Waits for changes after a revision.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] if the store did not answer, or not sensibly.
+    pub fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Answer, StoreError> {
+        let path = store::watch_path(prefix, after, wait.as_millis() as u64);
+        let (status, body) = self.get(&path, wait + WATCH_SLACK)?;
+        match status {
+            200 => {}
+            410 => return Ok(Answer::Compacted),
+            status => return Err(StoreError::Status(status)),
+        }
+        let events = store::events_from(&body).map_err(malformed)?;
+        Ok(Answer::Events {
+            items: events.events.into_iter().map(changed).collect(),
+            as_of: events.as_of,
+        })
+    }
+
+    fn get(&self, path: &str, timeout: Duration) -> Result<(u16, Vec<u8>), StoreError> {
+        let url = format!("http://{}{path}", self.address);
+        let req = self.agent.get(&url).config();
+        let req = req.timeout_global(Some(timeout)).build();
+        let mut response = req.call().map_err(unavailable)?;
+        let status = response.status().as_u16();
+        let reader = response.body_mut().with_config().limit(MOST_BYTES);
+        let body = reader.read_to_vec().map_err(unavailable)?;
+        Ok((status, body))
+    }
+}
+
+fn unavailable(err: ureq::Error) -> StoreError {
+    StoreError::Unavailable(err.to_string())
+}
+
+fn malformed(err: store::AnswerError) -> StoreError {
+    StoreError::Malformed(err.to_string())
+}
+
+fn written(item: store::Item) -> Item {
+    Item {
+        key: item.key,
+        value: Some(item.value),
+        revision: item.revision,
+    }
+}
+
+fn changed(event: Event) -> Item {
+    match event {
+        Event::Written(item) => written(item),
+        Event::Removed { key, revision } => Item {
+            key,
+            value: None,
+            revision,
+        },
+    }
+}
--- /dev/null
+++ b/crates/cicadaweird/src/steered/meters.rs
@@ -0,0 +1,200 @@
+//! Counters and histograms, as text in the OpenMetrics format.
+
+use std::{
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use cicadaweir_core::{
+    mirror::{Answer, Call},
+    steer::{Counters, DropReason, Observation, ResetReason},
+};
+use log::error;
+use prometheus_client::{
+    encoding::text::encode,
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+type Labels = Vec<(&'static str, &'static str)>;
+
+/// Upper bounds of the histograms' buckets: 1 ms doubled up to 4 s, beyond a
+/// caller's patience.
+const BUCKETS: u16 = 13;
+
+/// All metrics of the daemon.
+#[derive(Debug)]
+pub struct Meters {
+    registry: Registry,
+    packets: Family<Labels, Counter>,
+    targets: Family<Labels, Gauge>,
+    flows: Gauge,
+    version: Gauge,
+    opening_wait: Histogram,
+    request_time: Histogram,
+    store_calls: Family<Labels, Counter>,
+    store_time: Histogram,
+    counted: Mutex<Counters>,
+}
+
+impl Default for Meters {
+    fn default() -> Self {
+        let buckets = || exponential_buckets(0.001, 2.0, BUCKETS);
+        let mut this = Self {
+            registry: Registry::with_prefix("cicadaweir"),
+            packets: Family::default(),
+            targets: Family::default(),
+            flows: Gauge::default(),
+            version: Gauge::default(),
+            opening_wait: Histogram::new(buckets()),
+            request_time: Histogram::new(buckets()),
+            store_calls: Family::default(),
+            store_time: Histogram::new(buckets()),
+            counted: Mutex::default(),
+        };
+        this.register();
+        this
+    }
+}
+
+impl Meters {
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register("packets", "Decisions on packets", self.packets.clone());
+        r.register(
+            "targets",
+            "Targets by what is believed of them",
+            self.targets.clone(),
+        );
+        r.register("flows", "Flows that are remembered", self.flows.clone());
+        r.register("config_version", "Version in force", self.version.clone());
+        let help = "Seconds from a caller's first opening to its acknowledgement";
+        r.register("opening_wait_seconds", help, self.opening_wait.clone());
+        let help = "Seconds from a request to the first acknowledged byte of its answer";
+        r.register("request_seconds", help, self.request_time.clone());
+        r.register(
+            "store_calls",
+            "Calls of the store",
+            self.store_calls.clone(),
+        );
+        r.register(
+            "store_seconds",
+            "Seconds that reads of the store took",
+            self.store_time.clone(),
+        );
+    }
+
+    /// Returns all metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        if let Err(err) = encode(&mut text, &self.registry) {
+            error!(err:display; "metrics can't be encoded");
+        }
+        text
+    }
+
+    /// Counts a call of the store.
+    pub fn store_call(&self, call: &Call, answer: &Answer, took: Duration) {
+        let kind = match call {
+            Call::Range { stale: true, .. } => "stale_read",
+            Call::Range { stale: false, .. } => "read",
+            Call::Watch { .. } => "watch",
+            Call::Pause(_) => return,
+        };
+        let outcome = match answer {
+            Answer::Failed => "failed",
+            Answer::Compacted => "compacted",
+            Answer::Page { .. } | Answer::Events { .. } => "ok",
+        };
+        let labels = vec![("kind", kind), ("outcome", outcome)];
+        self.store_calls.get_or_create(&labels).inc();
+        if matches!(call, Call::Range { .. }) {
+            self.store_time.observe(took.as_secs_f64());
+        }
+    }
+
+    /// Records what the core has learned.
+    pub fn observe(&self, observation: &Observation) {
+        match observation {
+            Observation::OpeningAnswered { took } => self.opening_wait.observe(took.as_secs_f64()),
+            Observation::RequestAnswered { took } => self.request_time.observe(took.as_secs_f64()),
+            Observation::Suspected { .. } | Observation::Cleared { .. } => {}
+        }
+    }
+
+    /// Sets how many targets there are of each kind, and how many flows.
+    pub fn set_state(
+        &self,
+        version: u64,
+        flows: usize,
+        ready: usize,
+        draining: usize,
+        suspected: usize,
+    ) {
+        self.version.set(version as i64);
+        self.flows.set(flows as i64);
+        for (state, count) in [
+            ("ready", ready),
+            ("draining", draining),
+            ("suspected", suspected),
+        ] {
+            let gauge = self.targets.get_or_create(&vec![("state", state)]);
+            gauge.set(count as i64);
+        }
+    }
+
+    /// Adds what the core has decided since the last call.
+    pub fn count(&self, counters: &Counters) {
+        let mut counted = self.counted.lock().unwrap_or_else(PoisonError::into_inner);
+        let pairs = [
+            ("placed", "new", counters.placed, counted.placed),
+            (
+                "placed",
+                "repeated",
+                counters.repeated_openings,
+                counted.repeated_openings,
+            ),
+            ("forwarded", "known", counters.forwarded, counted.forwarded),
+            ("forwarded", "adopted", counters.adopted, counted.adopted),
+            ("request", "answered", counters.answered, counted.answered),
+            (
+                "request",
+                "repeated",
+                counters.repeated_requests,
+                counted.repeated_requests,
+            ),
+            ("belief", "suspected", counters.suspected, counted.suspected),
+            ("belief", "cleared", counters.cleared, counted.cleared),
+        ];
+        for (decision, detail, now, before) in pairs {
+            self.add(decision, detail, now - before);
+        }
+        for reason in ResetReason::ALL {
+            let at = reason as usize;
+            self.add(
+                "reset",
+                reason.name(),
+                counters.resets[at] - counted.resets[at],
+            );
+        }
+        for reason in DropReason::ALL {
+            let at = reason as usize;
+            self.add(
+                "drop",
+                reason.name(),
+                counters.drops[at] - counted.drops[at],
+            );
+        }
+        *counted = *counters;
+    }
+
+    fn add(&self, decision: &'static str, detail: &'static str, growth: u64) {
+        let labels = vec![("decision", decision), ("detail", detail)];
+        self.packets.get_or_create(&labels).inc_by(growth);
+    }
+}
