feat: keep packets that come before the first view of the store

Cause: after all processes lost power, a restarted entry VM dropped what came in the 50 ms before it had read the store; callers repeat only after 200 ms. Ruled out: starting faster (the platform takes 1.5 s, the daemon 50 ms). Also: openings wait up to 150 ms while every target has as many requests in flight from this entry VM as slots.

--- a/crates/cicadaweir-core/src/steer.rs
+++ b/crates/cicadaweir-core/src/steer.rs
@@ -13,6 +13,7 @@
 //! | [`Flows`] | what the caller's packets show of a flow |
 //! | [`Work`] | how much a target has to do, as the packets show it |
 //! | [`Suspicion`] | which targets and availability zones no longer answer |
+//! | [`Waiting`] | which packets wait for a decision |
 //! | [`Steering`] | where a packet goes: all of the above |
 
 mod cookie;
@@ -27,6 +28,7 @@
 mod suspicion;
 mod target;
 mod verdict;
+mod waiting;
 mod work;
 mod zones;
 
@@ -41,6 +43,7 @@
 pub use steering::{Counters, Steering};
 pub use suspicion::{Suspicion, Trust};
 pub use target::{TargetSpec, TargetState};
-pub use verdict::{DropReason, OpeningInputs, ResetReason, Verdict};
+pub use verdict::{DropReason, OpeningInputs, ResetReason, Verdict, WaitReason};
+pub use waiting::{Waiter, Waiting};
 pub use work::Work;
 pub use zones::ZoneSet;
--- a/crates/cicadaweir-core/src/steer/options.rs
+++ b/crates/cicadaweir-core/src/steer/options.rs
@@ -29,6 +29,16 @@
     pub reset_after: Duration,
     /// How recent the view of the store must be for a reset that rests on it.
     pub fresh_view: Duration,
+    /// The most packets that may wait for a decision.
+    pub most_waiting: usize,
+    /// How long a packet may wait for the first view of the store: a little
+    /// less than a caller waits for the answer to its opening.
+    pub view_patience: Duration,
+    /// How long an opening may wait for room at a target.
+    pub room_patience: Duration,
+    /// Requests in flight from this entry VM at which a target has enough to
+    /// do, for each of its slots.
+    pub room_per_slot: f32,
     /// What an open flow weighs in a target's score, in requests in flight.
     pub flow_weight: f32,
     /// What a request of the last second weighs, in requests in flight.
@@ -53,6 +63,10 @@
             zone_strikes: 2,
             reset_after: Duration::from_millis(550),
             fresh_view: Duration::from_millis(4_000),
+            most_waiting: 1_024,
+            view_patience: Duration::from_millis(1_200),
+            room_patience: Duration::from_millis(150),
+            room_per_slot: 1.0,
             flow_weight: 0.15,
             rate_weight: 0.3,
             zone_weight: 0.3,
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -5,14 +5,14 @@
 
 use crate::{
     catalog::{ServiceKey, TargetKey, ZoneId},
-    packet::PacketKind,
+    packet::{PacketKind, PacketRef},
     time::{Duration, Instant},
 };
 
 use super::{
     Applied, Candidate, Change, Directory, DropReason, Expired, FlowPhase, FlowState, Flows,
     Observation, OpeningInputs, Options, Presence, Progress, ResetReason, Segment, Suspicion,
-    TargetEntry, Trust, Verdict, Work, WorkKind, ZoneSet, choose,
+    TargetEntry, Trust, Verdict, WaitReason, Waiter, Waiting, Work, WorkKind, ZoneSet, choose,
 };
 
 /// What has been decided so far.
@@ -37,7 +37,9 @@
     /// Resets by reason, in the order of [`ResetReason`].
     pub resets: [u64; 4],
     /// Dropped packets by reason, in the order of [`DropReason`].
-    pub drops: [u64; 4],
+    pub drops: [u64; 6],
+    /// Packets that had to wait.
+    pub waits: u64,
 }
 
 /// One entry VM's decisions about packets that name their target.
@@ -47,6 +49,7 @@
     zone: ZoneId,
     directory: Directory,
     flows: Flows,
+    waiting: Waiting,
     work: Vec<Work>,
     suspicion: Vec<Suspicion>,
     zone_answers: Vec<Option<Instant>>,
@@ -66,6 +69,7 @@
             zone,
             directory,
             flows: Flows::default(),
+            waiting: Waiting::default(),
             work: Vec::new(),
             suspicion: Vec::new(),
             zone_answers: Vec::new(),
@@ -142,15 +146,72 @@
 
     /// Decides where a packet goes.
     pub fn packet(&mut self, now: Instant, segment: &Segment) -> Verdict {
-        let verdict = match segment.kind {
-            PacketKind::Opening => self.opening(now, segment),
+        let verdict = self.fresh(now, segment);
+        self.count(&verdict);
+        verdict
+    }
+
+    /// Decides where a packet goes that has waited.
+    pub fn waited(&mut self, now: Instant, waiter: &Waiter) -> Verdict {
+        let verdict = self.decide(now, &waiter.segment, false);
+        self.count(&verdict);
+        verdict
+    }
+
+    /// Keeps a packet for which [`Verdict::Wait`] was returned.
+    pub fn wait(&mut self, now: Instant, segment: &Segment, packet: PacketRef) {
+        self.waiting.push(Waiter {
+            packet,
+            segment: *segment,
+            since: now,
+        });
+    }
+
+    /// Returns a packet that has waited and can be decided now: `Ok` is to be
+    /// handed to [`Steering::waited`], `Err` has waited too long.
+    pub fn next_waiter(&mut self, now: Instant) -> Option<Result<Waiter, Waiter>> {
+        if !self.is_ready() {
+            let patience = self.options.view_patience;
+            return self.waiting.pop_expired(now, patience).map(Err);
+        }
+        if let Some(waiter) = self.waiting.pop_expired(now, self.options.room_patience) {
+            return Some(Ok(waiter));
+        }
+        let has_room = self.waiting.newest().is_some_and(|waiter| {
+            let route = self.directory.route(&waiter.segment.flow.address, 0);
+            waiter.segment.kind != PacketKind::Opening
+                || route.is_none_or(|(service, _)| self.has_room(now, service))
+        });
+        has_room.then(|| self.waiting.pop_newest().map(Ok))?
+    }
+
+    /// Returns whether packets wait.
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    fn fresh(&mut self, now: Instant, segment: &Segment) -> Verdict {
+        if self.has_waiting() && self.waiting.has_copy_of(segment) {
+            return Verdict::Drop(DropReason::Copy);
+        }
+        let verdict = self.decide(now, segment, true);
+        if matches!(verdict, Verdict::Wait(_)) && self.waiting.len() >= self.options.most_waiting {
+            return Verdict::Drop(DropReason::Waited);
+        }
+        verdict
+    }
+
+    fn decide(&mut self, now: Instant, segment: &Segment, may_wait: bool) -> Verdict {
+        if !self.is_ready() {
+            return Verdict::Wait(WaitReason::View);
+        }
+        match segment.kind {
+            PacketKind::Opening => self.opening(now, segment, may_wait),
             PacketKind::OpeningAnswer | PacketKind::Datagram => {
                 Verdict::Drop(DropReason::Unexpected)
             }
             _ => self.later(now, segment),
-        };
-        self.count(&verdict);
-        verdict
+        }
     }
 
     /// Forgets what is over; to be called a few times a second.
@@ -173,7 +234,7 @@
             });
     }
 
-    fn opening(&mut self, now: Instant, segment: &Segment) -> Verdict {
+    fn opening(&mut self, now: Instant, segment: &Segment, may_wait: bool) -> Verdict {
         let known = self.flows.get_mut(&segment.flow).copied();
         if let Some(flow) = known.filter(|flow| flow.phase == FlowPhase::Open) {
             return Verdict::Forward {
@@ -187,6 +248,9 @@
         else {
             return self.without_route(now);
         };
+        if may_wait && known.is_none() && !self.has_room(now, service) {
+            return Verdict::Wait(WaitReason::Room);
+        }
         let earlier = known.filter(|flow| flow.phase == FlowPhase::Opening);
         if let Some(flow) = known {
             self.flows.remove(&segment.flow);
@@ -215,6 +279,25 @@
         Verdict::Place { target, inputs }
     }
 
+    /// Returns whether a target that answers has little enough to do. Where no
+    /// target is trusted there is nothing to wait for.
+    fn has_room(&self, now: Instant, service: ServiceKey) -> bool {
+        let mut trusted = false;
+        for &key in self.directory.members(service) {
+            let Some(entry) = self.directory.target(key) else {
+                continue;
+            };
+            if entry.takes_openings() && self.trust(now, key) == Trust::Trusted {
+                trusted = true;
+                let most = self.options.room_per_slot * entry.slots as f32;
+                if (self.work(key).in_flight as f32) < most {
+                    return true;
+                }
+            }
+        }
+        !trusted
+    }
+
     fn without_route(&self, now: Instant) -> Verdict {
         if self.has_fresh_view(now) {
             Verdict::Reset(ResetReason::NoRoute)
@@ -367,9 +450,6 @@
     }
 
     fn adopt(&mut self, now: Instant, segment: &Segment) -> Verdict {
-        if !self.is_ready() {
-            return Verdict::Drop(DropReason::RouteUnknown);
-        }
         let Some(target) = self.directory.by_cookie(segment.cookie) else {
             return Verdict::Drop(DropReason::TargetUnknown);
         };
@@ -521,6 +601,7 @@
             }
             Verdict::Reset(reason) => c.resets[*reason as usize] += 1,
             Verdict::Drop(reason) => c.drops[*reason as usize] += 1,
+            Verdict::Wait(_) => c.waits += 1,
         }
     }
 }
--- a/crates/cicadaweir-core/src/steer/verdict.rs
+++ b/crates/cicadaweir-core/src/steer/verdict.rs
@@ -25,6 +25,18 @@
     Reset(ResetReason),
     /// Nowhere.
     Drop(DropReason),
+    /// It can't be decided yet; to be kept and handed to
+    /// [`super::Steering::wait`].
+    Wait(WaitReason),
+}
+
+/// Why a packet waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum WaitReason {
+    /// No configuration is known yet.
+    View,
+    /// All targets that could take the opening have enough to do.
+    Room,
 }
 
 /// What decided where an opening went.
@@ -64,6 +76,10 @@
     OtherService,
     /// The packet isn't one that callers send.
     Unexpected,
+    /// An earlier copy of the packet waits.
+    Copy,
+    /// Too many packets wait, or it has waited too long.
+    Waited,
 }
 
 impl ResetReason {
@@ -88,11 +104,13 @@
 
 impl DropReason {
     /// All reasons, in the order of their numbers.
-    pub const ALL: [Self; 4] = [
+    pub const ALL: [Self; 6] = [
         Self::RouteUnknown,
         Self::TargetUnknown,
         Self::OtherService,
         Self::Unexpected,
+        Self::Copy,
+        Self::Waited,
     ];
 
     /// Returns the reason's name in logs and metrics.
@@ -102,6 +120,8 @@
             Self::TargetUnknown => "target_unknown",
             Self::OtherService => "other_service",
             Self::Unexpected => "unexpected",
+            Self::Copy => "copy",
+            Self::Waited => "waited",
         }
     }
 }
--- a/crates/cicadaweird/src/steered/engine.rs
+++ b/crates/cicadaweird/src/steered/engine.rs
@@ -23,6 +23,7 @@
 
 use crate::{
     logs::{Budget, Kind},
+    pool::Pool,
     settings::{Carrier, CookieSettings},
     socket::BatchSocket,
 };
@@ -46,6 +47,7 @@
     budget: Budget,
     stopping: Option<Stopping>,
     observations: Vec<Observation>,
+    pool: Pool,
     buf: Vec<u8>,
     seed: u64,
     started: Instant,
@@ -78,6 +80,7 @@
             takes_packets: Arc::default(),
             stopping: None,
             observations: Vec::new(),
+            pool: Pool::new(options.most_waiting as u32),
             buf: Vec::with_capacity(MOST_DATAGRAM_BYTES),
             seed,
             started: clock,
@@ -126,24 +129,64 @@
             Ok(segment) => segment,
             Err(err) => return debug!(err:display; "a datagram is no packet"),
         };
-        match self.steering.packet(self.now, &segment) {
+        let verdict = self.steering.packet(self.now, &segment);
+        self.carry_out(socket, bytes, &segment, verdict);
+        self.release(socket);
+        self.observe();
+    }
+
+    fn carry_out(
+        &mut self,
+        socket: &BatchSocket,
+        bytes: &[u8],
+        segment: &Segment,
+        verdict: Verdict,
+    ) {
+        match verdict {
             Verdict::Place { target, inputs } => {
-                self.log_opening(&segment, target, &inputs);
+                self.log_opening(segment, target, &inputs);
                 self.forward(socket, bytes, target);
             }
             Verdict::Forward { target, adopted } => {
                 if adopted {
-                    self.log_adopted(&segment, target);
+                    self.log_adopted(segment, target);
                 }
                 self.forward(socket, bytes, target);
             }
             Verdict::Reset(reason) => {
-                self.log_reset(&segment, reason);
-                self.reset(socket, &segment);
+                self.log_reset(segment, reason);
+                self.reset(socket, segment);
+            }
+            Verdict::Drop(reason) => self.log_drop(segment, reason),
+            Verdict::Wait(_) => {
+                let packet = self.pool.offer();
+                if self.pool.keep(packet, bytes) {
+                    self.steering.wait(self.now, segment, packet);
+                } else {
+                    self.log_drop(segment, DropReason::Waited);
+                }
+            }
+        }
+    }
+
+    /// Decides packets that have waited.
+    pub fn release(&mut self, socket: &BatchSocket) {
+        while self.steering.has_waiting()
+            && let Some(next) = self.steering.next_waiter(self.now)
+        {
+            match next {
+                Ok(waiter) => {
+                    let bytes = self.pool.get(waiter.packet).unwrap_or_default().to_vec();
+                    self.pool.release(waiter.packet);
+                    let verdict = self.steering.waited(self.now, &waiter);
+                    self.carry_out(socket, &bytes, &waiter.segment, verdict);
+                }
+                Err(waiter) => {
+                    self.pool.release(waiter.packet);
+                    self.log_drop(&waiter.segment, DropReason::Waited);
+                }
             }
-            Verdict::Drop(reason) => self.log_drop(&segment, reason),
         }
-        self.observe();
     }
 
     /// Takes in what the store has shown.
@@ -158,6 +201,11 @@
         self.update_readiness();
     }
 
+    /// Returns whether packets wait for a decision.
+    pub fn has_waiting(&self) -> bool {
+        self.steering.has_waiting()
+    }
+
     /// Begins a planned stop.
     pub fn stop(&mut self) {
         info!(flows = self.steering.flow_count(); "stopping");
--- a/crates/cicadaweird/src/steered/run.rs
+++ b/crates/cicadaweird/src/steered/run.rs
@@ -29,6 +29,10 @@
 /// How often the loop looks at what is over.
 const TICK: Duration = Duration::from_millis(200);
 
+/// How often the loop looks at packets that wait: a part of the time that an
+/// opening may wait for room.
+const WAITING_TICK: Duration = Duration::from_millis(20);
+
 /// Events that one poll returns at most.
 const EVENTS: usize = 64;
 
@@ -102,6 +106,7 @@
     engine: Engine,
     rx: Receiver<Input>,
     next_tick: Instant,
+    looks_again: bool,
 }
 
 impl Daemon {
@@ -148,6 +153,7 @@
             engine,
             rx: parts.rx,
             next_tick: cx.now() + TICK,
+            looks_again: false,
         })
     }
 
@@ -155,6 +161,7 @@
         self.engine.read_clock();
         let (packets, engine) = (&self.packets, &mut self.engine);
         let more = packets.read(&mut self.batch, |_, bytes| engine.datagram(packets, bytes));
+        self.look_again(cx);
         match more {
             Ok(true) => stakker::call!([cx], read_packets(ready)),
             Ok(false) => {}
@@ -172,6 +179,22 @@
                 Input::Abort => return stop!(cx),
             }
         }
+        self.engine.release(&self.packets);
+    }
+
+    /// Sees to it that packets that wait are looked at soon.
+    fn look_again(&mut self, cx: CX![]) {
+        if self.engine.has_waiting() && !self.looks_again {
+            self.looks_again = true;
+            after!(WAITING_TICK, [cx], look());
+        }
+    }
+
+    fn look(&mut self, cx: CX![]) {
+        self.looks_again = false;
+        self.engine.read_clock();
+        self.engine.release(&self.packets);
+        self.look_again(cx);
     }
 
     fn tick(&mut self, cx: CX![]) {
