feat: reset flows whose target answers nobody

Cause: flows to crashed or cut off targets waited for their callers' time-outs (32 of 92 requests failed in the two seconds after three targets died).

--- a/crates/cicadaweir-core/src/steer/options.rs
+++ b/crates/cicadaweir-core/src/steer/options.rs
@@ -22,11 +22,18 @@
     pub suspicion_hold: Duration,
     /// The longest time for which a suspected target is avoided.
     pub longest_hold: Duration,
-    /// Suspected targets of an availability zone that make the zone suspected.
-    pub zone_strikes: u32,
-    /// How long a request must have gone unanswered, repetitions included,
-    /// before its flow is reset.
-    pub reset_after: Duration,
+    /// How long something must have gone unanswered for its repetition to
+    /// count: less than a caller's first interval of 200 ms, and more than
+    /// packets that piled up here while this process stood still are apart.
+    pub strike_after: Duration,
+    /// Unanswered targets of an availability zone that make it suspected.
+    pub zone_targets: u32,
+    /// Repetitions without any answer in between after which a target
+    /// counts as gone.
+    pub certain_strikes: u32,
+    /// The same for a target in an availability zone that is silent as a
+    /// whole.
+    pub zone_certain_strikes: u32,
     /// How recent the view of the store must be for a reset that rests on it.
     pub fresh_view: Duration,
     /// The most packets that may wait for a decision.
@@ -60,8 +67,10 @@
             request_memory: Duration::from_millis(2_500),
             suspicion_hold: Duration::from_millis(1_500),
             longest_hold: Duration::from_millis(6_000),
-            zone_strikes: 2,
-            reset_after: Duration::from_millis(550),
+            strike_after: Duration::from_millis(150),
+            zone_targets: 2,
+            certain_strikes: 3,
+            zone_certain_strikes: 2,
             fresh_view: Duration::from_millis(4_000),
             most_waiting: 1_024,
             view_patience: Duration::from_millis(1_200),
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -42,6 +42,22 @@
     pub waits: u64,
 }
 
+/// What speaks against one availability zone.
+#[derive(Debug, Clone, Copy, Default)]
+struct ZoneSilence {
+    targets: u32,
+    strikes: u32,
+    since: Option<Instant>,
+}
+
+impl ZoneSilence {
+    fn add(&mut self, since: Instant, strikes: u32) {
+        self.targets += 1;
+        self.strikes += strikes;
+        self.since = Some(self.since.map_or(since, |known| known.min(since)));
+    }
+}
+
 /// One entry VM's decisions about packets that name their target.
 #[derive(Debug)]
 pub struct Steering {
@@ -53,6 +69,7 @@
     work: Vec<Work>,
     suspicion: Vec<Suspicion>,
     zone_answers: Vec<Option<Instant>>,
+    zone_trials: Vec<Option<Instant>>,
     viewed_at: Option<Instant>,
     observations: Vec<Observation>,
     counters: Counters,
@@ -73,6 +90,7 @@
             work: Vec::new(),
             suspicion: Vec::new(),
             zone_answers: Vec::new(),
+            zone_trials: Vec::new(),
             viewed_at: None,
             observations: Vec::new(),
             counters: Counters::default(),
@@ -138,6 +156,7 @@
         self.work.resize(capacity, Work::default());
         self.suspicion.resize(capacity, Suspicion::default());
         self.zone_answers.resize(self.directory.zone_count(), None);
+        self.zone_trials.resize(self.directory.zone_count(), None);
         if let Applied::NewTarget(key) = applied {
             self.suspicion[key.0 as usize] = Suspicion::default();
         }
@@ -319,7 +338,7 @@
     ) -> Option<(TargetKey, OpeningInputs)> {
         let mut inputs = OpeningInputs::default();
         let mut best_trust = Trust::Suspected;
-        let silent = self.silent_zones(now);
+        let silent = self.silent_zones(self.options.zone_targets);
         for &key in self.directory.members(service) {
             let takes = self
                 .directory
@@ -375,7 +394,8 @@
         }
         let members = self.directory.members(service);
         let key = members.iter().copied().find(|&key| {
-            self.trust_in(now, key, silent) == Trust::OnTrial
+            self.trust(now, key) == Trust::OnTrial
+                && self.may_try(now, key, silent)
                 && self
                     .directory
                     .target(key)
@@ -383,10 +403,25 @@
         })?;
         let entry = self.directory.target(key)?;
         let score = self.score(now, key, entry);
+        let zone_trial = &mut self.zone_trials[usize::from(entry.zone.0)];
+        if silent.contains(entry.zone) {
+            *zone_trial = Some(now);
+        }
         self.suspicion[key.0 as usize].begin_trial(now, self.options.suspicion_hold);
         Some(Candidate { target: key, score })
     }
 
+    /// Returns whether a target on trial may get a flow now: a silent
+    /// availability zone is tried through one target at a time.
+    fn may_try(&self, now: Instant, key: TargetKey, silent: ZoneSet) -> bool {
+        let Some(entry) = self.directory.target(key) else {
+            return false;
+        };
+        let tried = self.zone_trials[usize::from(entry.zone.0)];
+        let recently = tried.is_some_and(|at| now.since(at) < self.options.suspicion_hold);
+        !(silent.contains(entry.zone) && recently)
+    }
+
     fn score(&self, now: Instant, key: TargetKey, entry: &TargetEntry) -> f32 {
         let o = &self.options;
         let work = self.work(key);
@@ -421,10 +456,7 @@
         let progress = flow.observe(segment, now);
         self.flows.insert(segment.flow, flow, usize::MAX);
         self.note(now, &flow, progress);
-        let reset = progress
-            .repeated
-            .and_then(|since| self.give_up(now, &flow, since));
-        match reset {
+        match self.give_up(now, &flow, &progress) {
             Some(reason) => {
                 self.flows.remove(&segment.flow);
                 forget(&mut self.work[flow.target.0 as usize], &flow);
@@ -518,6 +550,9 @@
     }
 
     fn strike(&mut self, now: Instant, target: TargetKey, sent: Instant) {
+        if now.since(sent) < self.options.strike_after {
+            return;
+        }
         let suspicion = &mut self.suspicion[target.0 as usize];
         if suspicion.strike(now, sent, &self.options) {
             self.counters.suspected += 1;
@@ -531,7 +566,7 @@
     fn trust_in(&self, now: Instant, target: TargetKey, silent: ZoneSet) -> Trust {
         let own = self.trust(now, target);
         let zone = self.directory.target(target).map(|entry| entry.zone);
-        if own == Trust::Trusted && zone.is_some_and(|zone| silent.contains(zone)) {
+        if zone.is_some_and(|zone| silent.contains(zone)) {
             return Trust::Suspected;
         }
         own
@@ -539,56 +574,94 @@
 
     /// Returns the availability zones that seem cut off: several of a zone's
     /// targets went unanswered, none of its targets has answered since, and
-    /// other zones have.
-    fn silent_zones(&self, now: Instant) -> ZoneSet {
-        let mut strikes = [(0u32, now); ZoneSet::MOST];
+    /// other zones have. At least `strikes` unanswered packets are wanted.
+    fn silent_zones(&self, strikes: u32) -> ZoneSet {
+        if self.suspicion.iter().all(|s| s.strikes() == 0) {
+            return ZoneSet::default();
+        }
+        let mut silences = [ZoneSilence::default(); ZoneSet::MOST];
         for (key, entry) in self.directory.targets() {
             let suspicion = &self.suspicion[key.0 as usize];
-            if let Some(silent) = suspicion.silent_since()
-                && suspicion.trust(now) == Trust::Suspected
-                && let Some((count, since)) = strikes.get_mut(usize::from(entry.zone.0))
+            if let Some(since) = suspicion.silent_since()
+                && let Some(silence) = silences.get_mut(usize::from(entry.zone.0))
             {
-                *count += 1;
-                *since = (*since).min(silent);
+                silence.add(since, suspicion.strikes());
             }
         }
         let mut set = ZoneSet::default();
-        for (zone, &(count, since)) in strikes.iter().enumerate() {
-            let mut answers = self.zone_answers.iter().enumerate();
-            let answered = |at: &Option<Instant>| at.is_some_and(|at| at > since);
-            let here = self.zone_answers.get(zone).is_some_and(answered);
-            if count >= self.options.zone_strikes
-                && !here
-                && answers.any(|(other, at)| other != zone && answered(at))
+        for (zone, silence) in silences.iter().enumerate() {
+            let Some(since) = silence.since else {
+                continue;
+            };
+            let zone = ZoneId(zone as u16);
+            if silence.targets >= self.options.zone_targets
+                && silence.strikes >= strikes
+                && !self.has_answered(zone, since)
+                && self.has_answered_elsewhere(zone, since)
             {
-                set.insert(ZoneId(zone as u16));
+                set.insert(zone);
             }
         }
         set
     }
 
-    /// Decides whether a flow whose caller repeats itself is to be reset.
+    fn has_answered(&self, zone: ZoneId, since: Instant) -> bool {
+        let answer = self.zone_answers.get(usize::from(zone.0)).copied();
+        answer.flatten().is_some_and(|at| at > since)
+    }
+
+    fn has_answered_elsewhere(&self, zone: ZoneId, since: Instant) -> bool {
+        let zones = (0..self.zone_answers.len()).map(|at| ZoneId(at as u16));
+        zones
+            .filter(|&other| other != zone)
+            .any(|other| self.has_answered(other, since))
+    }
+
+    /// Returns whether a target must be gone or out of reach: several packets
+    /// to it, or to its availability zone, went unanswered while others were
+    /// answered.
     ///
-    /// A reset is allowed only where the target itself must be gone: its
-    /// entry has left the store, or nobody gets an answer from it.
-    fn give_up(&self, now: Instant, flow: &FlowState, since: Instant) -> Option<ResetReason> {
-        if now.since(since) < self.options.reset_after {
-            return None;
-        }
-        let suspicion = &self.suspicion[flow.target.0 as usize];
-        let silent = suspicion.silent_since().is_some_and(|at| at <= since);
-        if !silent || !self.has_fresh_view(now) {
+    /// One lost packet looks the same as a target that is gone; the number of
+    /// strikes makes a mistake as rare as that many losses in a row. A silent
+    /// zone speaks against a target only together with strikes of its own:
+    /// when two of a zone's three targets die, the third may not have been
+    /// asked since.
+    fn is_certainly_silent(&self, target: TargetKey) -> bool {
+        let certain = self.options.certain_strikes;
+        let suspicion = &self.suspicion[target.0 as usize];
+        let Some(entry) = self.directory.target(target) else {
+            return false;
+        };
+        let alone = suspicion.strikes() >= certain
+            && suspicion.silent_since().is_some_and(|since| {
+                self.has_answered_elsewhere(entry.zone, since)
+                    || self.has_answered(entry.zone, since)
+            });
+        let in_silent_zone = suspicion.strikes() >= self.options.zone_certain_strikes
+            && self.silent_zones(certain + 1).contains(entry.zone);
+        alone || in_silent_zone
+    }
+
+    /// Decides whether a flow is to be reset, so that its caller can open
+    /// another one in time.
+    ///
+    /// That serves the caller only where the request may run again, and is
+    /// allowed only where the target must be gone or out of reach.
+    fn give_up(&self, now: Instant, flow: &FlowState, progress: &Progress) -> Option<ResetReason> {
+        let waits = flow.request_since.is_some() && !progress.answered && !progress.closed;
+        if !waits {
             return None;
         }
         let entry = self.directory.target(flow.target)?;
-        match entry.presence {
-            Presence::Departed { .. } => Some(ResetReason::TargetGone),
-            Presence::Listed => {
-                let certain = suspicion.strikes() >= 3 && flow.kind != WorkKind::AtMostOnce;
-                (certain && self.silent_zones(now).contains(entry.zone))
-                    .then_some(ResetReason::TargetSilent)
-            }
-        }
+        let departed = matches!(entry.presence, Presence::Departed { .. });
+        let repeats = progress.repeated.is_some();
+        if departed && repeats && self.has_fresh_view(now) {
+            let silent = self.suspicion[flow.target.0 as usize].silent_since();
+            return silent.map(|_| ResetReason::TargetGone);
+        }
+        let may_repeat = flow.kind != WorkKind::AtMostOnce;
+        let silent = may_repeat && self.is_certainly_silent(flow.target);
+        silent.then_some(ResetReason::TargetSilent)
     }
 
     fn count(&mut self, verdict: &Verdict) {
