--- a/crates/cicadaweir-core/src/steer/options.rs
+++ b/crates/cicadaweir-core/src/steer/options.rs
@@ -26,6 +26,9 @@
     /// count: less than a caller's first interval of 200 ms, and more than
     /// packets that piled up here while this process stood still are apart.
     pub strike_after: Duration,
+    /// How long a strike counts as proof: the platform's rules take a cut as
+    /// over for good 4 s after its end, and callers repeat within 1.6 s.
+    pub proof_memory: Duration,
     /// Unanswered targets of an availability zone that make it suspected.
     pub zone_targets: u32,
     /// Repetitions without any answer in between after which a target
@@ -68,6 +71,7 @@
             suspicion_hold: Duration::from_millis(1_500),
             longest_hold: Duration::from_millis(6_000),
             strike_after: Duration::from_millis(150),
+            proof_memory: Duration::from_millis(2_000),
             zone_targets: 2,
             certain_strikes: 3,
             zone_certain_strikes: 2,
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -626,18 +626,19 @@
     /// zone speaks against a target only together with strikes of its own:
     /// when two of a zone's three targets die, the third may not have been
     /// asked since.
-    fn is_certainly_silent(&self, target: TargetKey) -> bool {
+    fn is_certainly_silent(&self, now: Instant, target: TargetKey) -> bool {
         let certain = self.options.certain_strikes;
         let suspicion = &self.suspicion[target.0 as usize];
         let Some(entry) = self.directory.target(target) else {
             return false;
         };
-        let alone = suspicion.strikes() >= certain
+        let proof = suspicion.proof(now, &self.options);
+        let alone = proof >= certain
             && suspicion.silent_since().is_some_and(|since| {
                 self.has_answered_elsewhere(entry.zone, since)
                     || self.has_answered(entry.zone, since)
             });
-        let in_silent_zone = suspicion.strikes() >= self.options.zone_certain_strikes
+        let in_silent_zone = proof >= self.options.zone_certain_strikes
             && self.silent_zones(certain + 1).contains(entry.zone);
         alone || in_silent_zone
     }
@@ -660,7 +661,7 @@
             return silent.map(|_| ResetReason::TargetGone);
         }
         let may_repeat = flow.kind != WorkKind::AtMostOnce;
-        let silent = may_repeat && self.is_certainly_silent(flow.target);
+        let silent = may_repeat && self.is_certainly_silent(now, flow.target);
         silent.then_some(ResetReason::TargetSilent)
     }
 
--- a/crates/cicadaweir-core/src/steer/suspicion.rs
+++ b/crates/cicadaweir-core/src/steer/suspicion.rs
@@ -26,6 +26,9 @@
     last_answer: Option<Instant>,
     strikes: u32,
     first_strike: Instant,
+    /// Strikes that count as proof: none of them lies long before the next.
+    proof: u32,
+    last_strike: Instant,
     held_until: Instant,
     rounds: u32,
     trial_until: Option<Instant>,
@@ -44,6 +47,9 @@
             self.first_strike = sent;
         }
         self.strikes += 1;
+        let fresh = before && now.since(self.last_strike) <= options.proof_memory;
+        self.proof = if fresh { self.proof + 1 } else { 1 };
+        self.last_strike = now;
         if !before || self.trial_until.is_some() {
             let hold = options.suspicion_hold.times(1 << self.rounds.min(4));
             self.held_until = now + hold.min(options.longest_hold);
@@ -90,6 +96,13 @@
         self.strikes
     }
 
+    /// Returns how many strikes prove that it doesn't answer now; old ones
+    /// don't, since whatever kept it from answering may be over.
+    pub fn proof(&self, now: Instant, options: &Options) -> u32 {
+        let fresh = now.since(self.last_strike) <= options.proof_memory;
+        if fresh { self.proof } else { 0 }
+    }
+
     /// Returns when it answered last.
     pub const fn last_answer(&self) -> Option<Instant> {
         self.last_answer
