feat: let seeds watch the store and all other entry VMs follow them

Ruled out: longer waits (the changes, not the waits, are most of the calls); membership in the store (leases and writes for what the seeds list gives).

--- a/crates/cicadaweir-core/src/mirror.rs
+++ b/crates/cicadaweir-core/src/mirror.rs
@@ -9,7 +9,9 @@
 //! Failed calls back off with jitter, and the first read is a stale one,
 //! which costs the store a tenth; the watch behind it brings what is missing.
 
+mod log;
 mod options;
+mod sources;
 mod update;
 
 use hashbrown::{HashMap, HashSet};
@@ -18,7 +20,9 @@
 
 use crate::time::{Duration, Instant};
 
+pub use log::{Log, Unknown};
 pub use options::Options;
+pub use sources::{Source, Sources};
 pub use update::{Answer, Call, Item, Update};
 
 /// What the mirror is doing.
--- a/crates/cicadaweir-core/src/mirror/options.rs
+++ b/crates/cicadaweir-core/src/mirror/options.rs
@@ -5,8 +5,9 @@
 /// How a mirror waits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Options {
-    /// How long a watch waits at the store: a channel that has gone silent
-    /// is noticed after this and the driver's time-out.
+    /// How long a watch waits: a channel that has gone silent is noticed
+    /// after this and the driver's time-out, well before a change must be in
+    /// force.
     pub watch_wait: Duration,
     /// The pause after a first failed call.
     pub retry_pause: Duration,
@@ -20,7 +21,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            watch_wait: Duration::from_millis(2_500),
+            watch_wait: Duration::from_millis(1_000),
             retry_pause: Duration::from_millis(200),
             longest_pause: Duration::from_millis(800),
             removal_hold: Duration::from_millis(2_200),
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -134,9 +134,9 @@
         self.directory.version().is_some()
     }
 
-    /// Notes that the view of the store was found complete.
-    pub fn viewed(&mut self, now: Instant) {
-        self.viewed_at = Some(now);
+    /// Notes that the view of the store was complete at some moment.
+    pub fn viewed(&mut self, at: Instant) {
+        self.viewed_at = Some(self.viewed_at.map_or(at, |known| known.max(at)));
     }
 
     /// Returns how old the view of the store is.
--- a/crates/cicadaweird/src/steered.rs
+++ b/crates/cicadaweird/src/steered.rs
@@ -7,23 +7,26 @@
 //! | module | job |
 //! |---|---|
 //! | [`Engine`] | packets in, packets out, lines and counters for both |
-//! | [`follow`] | the store's client, on its thread |
-//! | [`StoreClient`] | one call of the store |
+//! | [`Follower`] | following the store or a peer, on its thread |
+//! | [`Feed`] | telling other entry VMs what is known of the store |
+//! | [`StoreClient`], [`FeedClient`] | one call of the store or of a peer |
 //! | [`endpoint`] | readiness and metrics over HTTP |
 //! | [`Meters`] | counters and histograms |
 
 mod client;
 pub mod endpoint;
 mod engine;
+mod feed;
 mod follow;
 mod meters;
 mod run;
 mod signals;
 mod stopping;
 
-pub use client::{StoreClient, StoreError};
+pub use client::{FeedAnswer, FeedClient, StoreClient, StoreError};
 pub use engine::Engine;
-pub use follow::{News, follow};
+pub use feed::Feed;
+pub use follow::{Follower, News};
 pub use meters::Meters;
 pub use run::{Inbox, Input, run};
 pub use signals::watch_signals;
--- a/crates/cicadaweird/src/steered/client.rs
+++ b/crates/cicadaweird/src/steered/client.rs
@@ -1,20 +1,21 @@
-//! One call of the platform's store over HTTP.
+//! One call of the platform's store, or of another entry VM's feed, over HTTP.
 
 use std::{fmt, net::SocketAddr, time::Duration};
 
 use cicadaweir_core::mirror::{Answer, Item};
 use cicadaweir_platform::store::{self, Event};
+use cicadaweir_proto::feed::{AFTER_PATH, ALL_PATH, FeedBody};
 use ureq::Agent;
 
 /// How long a connection may take: several times the store's usual answer.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// How long a read may take: a store that is fifty times slower than its
 /// usual 4 ms is still served from.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// How long a watch may take beyond the wait that it asks for.
-const WATCH_SLACK: Duration = Duration::from_millis(700);
+const WATCH_SLACK: Duration = Duration::from_millis(500);
 
 /// The largest answer, in bytes: 500 items or 1 MB of values in base64.
 const MOST_BYTES: u64 = 4 << 20;
@@ -49,16 +50,103 @@
     address: SocketAddr,
 }
 
+/// What another entry VM has answered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FeedAnswer {
+    /// Keys or changes.
+    pub answer: Answer,
+    /// How long ago the store was heard.
+    pub age: Duration,
+    /// Another entry VM to ask from now on.
+    pub instead: Option<SocketAddr>,
+}
+
+/// A client of other entry VMs.
+#[derive(Debug, Clone)]
+pub struct FeedClient {
+    agent: Agent,
+    own: SocketAddr,
+}
+
+impl FeedClient {
+    /// Makes a client for the entry VM whose own feed is at `own`.
+    pub fn new(own: SocketAddr) -> Self {
+        Self {
+            agent: agent(),
+            own,
+        }
+    }
+
+    /// Reads all keys that another entry VM knows.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] if it did not answer, or knows nothing recent.
+    pub fn all(&self, peer: SocketAddr) -> Result<FeedAnswer, StoreError> {
+        let url = format!("http://{peer}{ALL_PATH}");
+        let body = self.feed(&url, READ_TIMEOUT)?;
+        let (age, as_of) = (Duration::from_millis(body.age_ms), body.as_of);
+        Ok(FeedAnswer {
+            answer: Answer::Page {
+                items: body.into_items().map_err(StoreError::Malformed)?,
+                has_more: false,
+                as_of,
+            },
+            age,
+            instead: None,
+        })
+    }
+
+    /// Waits for changes after a revision.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] if it did not answer, or knows nothing recent.
+    pub fn after(
+        &self,
+        peer: SocketAddr,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<FeedAnswer, StoreError> {
+        let (wait_ms, own) = (wait.as_millis(), self.own);
+        let url =
+            format!("http://{peer}{AFTER_PATH}?revision={revision}&wait_ms={wait_ms}&from={own}");
+        let body = match self.feed(&url, wait + WATCH_SLACK) {
+            Err(StoreError::Status(410)) => {
+                return Ok(FeedAnswer {
+                    answer: Answer::Compacted,
+                    age: Duration::ZERO,
+                    instead: None,
+                });
+            }
+            body => body?,
+        };
+        let (age, as_of) = (Duration::from_millis(body.age_ms), body.as_of);
+        let instead = body.instead.as_deref().and_then(|text| text.parse().ok());
+        Ok(FeedAnswer {
+            answer: Answer::Events {
+                items: body.into_items().map_err(StoreError::Malformed)?,
+                as_of,
+            },
+            age,
+            instead,
+        })
+    }
+
+    fn feed(&self, url: &str, timeout: Duration) -> Result<FeedBody, StoreError> {
+        let (status, body) = get(&self.agent, url, timeout)?;
+        if status != 200 {
+            return Err(StoreError::Status(status));
+        }
+        serde_json::from_slice(&body).map_err(|err| StoreError::Malformed(err.to_string()))
+    }
+}
+
 impl StoreClient {
     /// Makes a client; nothing is sent yet.
     pub fn new(address: SocketAddr) -> Self {
-        let config = Agent::config_builder()
-            .http_status_as_error(false)
-            .timeout_connect(Some(CONNECT_TIMEOUT))
-            .max_idle_connections(1)
-            .build();
         Self {
-            agent: config.into(),
+            agent: agent(),
             address,
         }
     }
@@ -108,17 +196,33 @@
     }
 
     fn get(&self, path: &str, timeout: Duration) -> Result<(u16, Vec<u8>), StoreError> {
-        let url = format!("http://{}{path}", self.address);
-        let req = self.agent.get(&url).config();
-        let req = req.timeout_global(Some(timeout)).build();
-        let mut response = req.call().map_err(unavailable)?;
-        let status = response.status().as_u16();
-        let reader = response.body_mut().with_config().limit(MOST_BYTES);
-        let body = reader.read_to_vec().map_err(unavailable)?;
-        Ok((status, body))
+        get(
+            &self.agent,
+            &format!("http://{}{path}", self.address),
+            timeout,
+        )
     }
 }
 
+fn agent() -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_connect(Some(CONNECT_TIMEOUT))
+        .max_idle_connections(1)
+        .build();
+    config.into()
+}
+
+fn get(agent: &Agent, url: &str, timeout: Duration) -> Result<(u16, Vec<u8>), StoreError> {
+    let req = agent.get(url).config();
+    let req = req.timeout_global(Some(timeout)).build();
+    let mut response = req.call().map_err(unavailable)?;
+    let status = response.status().as_u16();
+    let reader = response.body_mut().with_config().limit(MOST_BYTES);
+    let body = reader.read_to_vec().map_err(unavailable)?;
+    Ok((status, body))
+}
+
 fn unavailable(err: ureq::Error) -> StoreError {
     StoreError::Unavailable(err.to_string())
 }
--- a/crates/cicadaweird/src/steered/engine.rs
+++ b/crates/cicadaweird/src/steered/engine.rs
@@ -196,7 +196,8 @@
             self.log_applied(applied, news.revision);
         }
         if news.current {
-            self.steering.viewed(self.now);
+            let age = time::Duration::from_micros(news.age.as_micros() as u64);
+            self.steering.viewed(self.now - age);
         }
         self.update_readiness();
     }
--- /dev/null
+++ b/crates/cicadaweird/src/steered/feed.rs
@@ -0,0 +1,243 @@
+//! Telling other entry VMs what this one knows of the store.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread,
+    time::{Duration, Instant},
+};
+
+use cicadaweir_core::mirror::{Answer, Log, Unknown};
+use cicadaweir_proto::feed::{AFTER_PATH, ALL_PATH, FeedBody};
+use indexmap::IndexMap;
+use log::debug;
+use tiny_http::{Request, Response, Server};
+
+/// How often waiting calls are looked at without news.
+const SWEEP: Duration = Duration::from_millis(250);
+
+/// The longest wait of a call.
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
+
+/// How many others are told directly; further ones are sent to one of these,
+/// so that the work of one entry VM stays bounded in any fleet.
+const MOST_FOLLOWERS: usize = 32;
+
+/// How long a follower that no longer asks counts as one.
+const FOLLOWER_MEMORY: Duration = Duration::from_secs(5);
+
+/// A body above this size is written on a thread of its own: a peer that
+/// doesn't read must not hold up the others.
+const INLINE_BYTES: usize = 4_096;
+
+/// A call that waits for changes.
+struct Pending {
+    req: Request,
+    revision: u64,
+    until: Instant,
+}
+
+/// What is told, and who waits.
+#[derive(Default)]
+struct State {
+    log: Log,
+    heard: Option<Instant>,
+    pending: Vec<Pending>,
+    followers: IndexMap<SocketAddr, Instant>,
+    next_instead: usize,
+}
+
+/// The feed of one entry VM.
+pub struct Feed {
+    state: Mutex<State>,
+    server: Server,
+}
+
+/// A reply with its status code.
+type Reply = (u16, Vec<u8>);
+
+impl Feed {
+    /// Starts the feed on an address.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error, with the address in it.
+    pub fn start(address: SocketAddr) -> io::Result<Arc<Self>> {
+        let server =
+            Server::http(address).map_err(|err| io::Error::other(format!("{address}: {err}")))?;
+        let feed = Arc::new(Self {
+            state: Mutex::default(),
+            server,
+        });
+        let shared = Arc::clone(&feed);
+        thread::spawn(move || shared.serve());
+        Ok(feed)
+    }
+
+    /// Takes in what the store, or somebody who had asked it, has answered.
+    /// `heard` is when the store was heard.
+    pub fn record(&self, answer: &Answer, heard: Instant) {
+        let mut state = self.lock();
+        state.log.record(answer);
+        state.heard = Some(state.heard.map_or(heard, |known| known.max(heard)));
+        let waiting = !state.pending.is_empty();
+        drop(state);
+        let has_news = match answer {
+            Answer::Page { .. } => true,
+            Answer::Events { items, .. } => !items.is_empty(),
+            Answer::Compacted | Answer::Failed => false,
+        };
+        if waiting && has_news {
+            self.server.unblock();
+        }
+    }
+
+    /// Notes that nobody could be heard; the others are told at once, so that
+    /// they can ask elsewhere.
+    pub fn lost(&self) {
+        self.lock().heard = None;
+        self.server.unblock();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn serve(&self) {
+        loop {
+            match self.server.recv_timeout(SWEEP) {
+                Ok(Some(req)) => self.take(req),
+                Ok(None) => {}
+                Err(err) => debug!(err:display; "a call of the feed could not be read"),
+            }
+            self.sweep();
+        }
+    }
+
+    fn take(&self, req: Request) {
+        let url = req.url().to_owned();
+        let (path, arguments) = url.split_once('?').unwrap_or((&url, ""));
+        let now = Instant::now();
+        let mut state = self.lock();
+        match path {
+            ALL_PATH => {
+                let reply = state.all(now);
+                drop(state);
+                respond(req, reply);
+            }
+            AFTER_PATH => {
+                let argument = |name| argument(arguments, name);
+                let revision = argument("revision").and_then(|text| text.parse().ok());
+                let wait = argument("wait_ms").and_then(|text| text.parse().ok());
+                let wait = Duration::from_millis(wait.unwrap_or(0)).min(LONGEST_WAIT);
+                let from = argument("from").and_then(|text| text.parse().ok());
+                if let Some(instead) = from.and_then(|from| state.follow(from, now)) {
+                    drop(state);
+                    return respond(req, redirect(instead));
+                }
+                state.pending.push(Pending {
+                    req,
+                    revision: revision.unwrap_or(0),
+                    until: now + wait,
+                });
+            }
+            _ => {
+                drop(state);
+                respond(req, (404, Vec::new()));
+            }
+        }
+    }
+
+    fn sweep(&self) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let mut ready = Vec::new();
+        let mut at = 0;
+        while at < state.pending.len() {
+            let pending = &state.pending[at];
+            match state.reply(pending.revision, pending.until, now) {
+                Some(reply) => ready.push((state.pending.swap_remove(at).req, reply)),
+                None => at += 1,
+            }
+        }
+        drop(state);
+        for (req, reply) in ready {
+            respond(req, reply);
+        }
+    }
+}
+
+impl State {
+    fn age_ms(&self, now: Instant) -> Option<u64> {
+        let heard = self.heard?;
+        Some(now.saturating_duration_since(heard).as_millis() as u64)
+    }
+
+    fn all(&self, now: Instant) -> Reply {
+        match (self.log.all(), self.age_ms(now)) {
+            (Some(answer), Some(age_ms)) => encode(&FeedBody::new(answer, age_ms)),
+            _ => (503, Vec::new()),
+        }
+    }
+
+    /// Returns the reply to a call that waits, unless it has to go on waiting.
+    fn reply(&self, revision: u64, until: Instant, now: Instant) -> Option<Reply> {
+        let Some(age_ms) = self.age_ms(now) else {
+            return Some((503, Vec::new()));
+        };
+        match self.log.after(revision) {
+            Ok(Answer::Events { items, .. }) if items.is_empty() && now < until => None,
+            Ok(answer) => Some(encode(&FeedBody::new(answer, age_ms))),
+            Err(Unknown::Behind) => Some((503, Vec::new())),
+            Err(Unknown::Compacted) => Some((410, Vec::new())),
+        }
+    }
+
+    /// Counts a follower; returns whom it is to ask instead if there are
+    /// enough.
+    fn follow(&mut self, from: SocketAddr, now: Instant) -> Option<SocketAddr> {
+        self.followers
+            .retain(|_, seen| now.duration_since(*seen) < FOLLOWER_MEMORY);
+        if self.followers.len() < MOST_FOLLOWERS || self.followers.contains_key(&from) {
+            self.followers.insert(from, now);
+            return None;
+        }
+        self.next_instead = (self.next_instead + 1) % self.followers.len();
+        self.followers.get_index(self.next_instead).map(|f| *f.0)
+    }
+}
+
+fn argument<'a>(arguments: &'a str, name: &str) -> Option<&'a str> {
+    let mut pairs = arguments.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|pair| pair.0 == name).map(|pair| pair.1)
+}
+
+fn redirect(instead: SocketAddr) -> Reply {
+    encode(&FeedBody {
+        instead: Some(instead.to_string()),
+        ..FeedBody::default()
+    })
+}
+
+fn encode(body: &FeedBody) -> Reply {
+    match serde_json::to_vec(body) {
+        Ok(bytes) => (200, bytes),
+        Err(err) => (500, err.to_string().into_bytes()),
+    }
+}
+
+fn respond(req: Request, (code, body): Reply) {
+    let large = body.len() > INLINE_BYTES;
+    let send = move || {
+        let response = Response::from_data(body).with_status_code(code);
+        if let Err(err) = req.respond(response) {
+            debug!(err:display; "an answer of the feed could not be sent");
+        }
+    };
+    if large {
+        thread::spawn(send);
+    } else {
+        send();
+    }
+}
--- a/crates/cicadaweird/src/steered/follow.rs
+++ b/crates/cicadaweird/src/steered/follow.rs
@@ -1,24 +1,29 @@
-//! Following the store on a thread of its own.
+//! Following the store, or another entry VM that does, on a thread of its own.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     thread,
     time::{Duration, Instant},
 };
 
 use cicadaweir_core::{
-    mirror::{Answer, Call, Mirror, Options, Update},
+    mirror::{Answer, Call, Mirror, Options, Source, Sources, Update},
     steer::Change,
     time,
 };
 use cicadaweir_platform::records::{self, ROUTES_KEY, TARGETS_PREFIX};
-use log::{info, warn};
+use log::{debug, info, warn};
 
-use super::{Inbox, Input, Meters, StoreClient, StoreError};
+use super::{Feed, FeedClient, Inbox, Input, Meters, StoreClient, StoreError};
 
 /// Everything in the store is followed by one watch.
 const PREFIX: &str = "";
 
+/// How old the view of another entry VM may be: its own watch, and the one
+/// of whom it follows.
+const OLDEST_PEER_VIEW: Duration = Duration::from_millis(2_500);
+
 /// What the store has shown.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct News {
@@ -26,70 +31,192 @@
     pub changes: Vec<Change>,
     /// Whether the copy is complete up to the store's state of a moment ago.
     pub current: bool,
+    /// How long ago the store was heard.
+    pub age: Duration,
     /// The store's revision up to which changes are known.
     pub revision: u64,
 }
 
-/// Follows the store until the loop has ended.
-pub fn follow(client: &StoreClient, seed: u64, meters: &Arc<Meters>, inbox: &Inbox) {
-    let start = Instant::now();
-    let now = || time::Instant::from_micros(start.elapsed().as_micros() as u64);
-    let mut mirror = Mirror::new(Options::default(), seed);
-    let mut updates = Vec::new();
-    let mut failing: Option<Instant> = None;
-    loop {
-        let call = mirror.next_call(now());
-        if let Call::Pause(span) = call {
-            thread::sleep(Duration::from_micros(span.as_micros()));
-            mirror.paused();
-            continue;
-        }
-        let asked = Instant::now();
-        let answer = match ask(client, &call) {
-            Ok(answer) => {
-                if let Some(since) = failing.take() {
-                    let down_ms = since.elapsed().as_millis() as u64;
-                    info!(dependency = "store", down_ms, revision = mirror.revision(); "dependency regained");
+/// What following the store needs.
+pub struct Follower {
+    /// The store.
+    pub store: StoreClient,
+    /// Other entry VMs.
+    pub peers: FeedClient,
+    /// Where this entry VM tells what it knows.
+    pub feed: Arc<Feed>,
+    /// The entry VMs that watch the store for the others.
+    pub seeds: Vec<SocketAddr>,
+    /// This entry VM's own address among them.
+    pub own: SocketAddr,
+    /// Differs between daemons.
+    pub seed: u64,
+    /// Where calls are counted.
+    pub meters: Arc<Meters>,
+    /// The loop.
+    pub inbox: Inbox,
+}
+
+/// An answer, and when the store was heard.
+struct Heard {
+    answer: Answer,
+    at: Instant,
+}
+
+impl Follower {
+    /// Follows the store until the loop has ended.
+    pub fn run(&self) {
+        let start = Instant::now();
+        let now = || time::Instant::from_micros(start.elapsed().as_micros() as u64);
+        let reads_store = self.seeds.contains(&self.own);
+        let seeds: Vec<_> = self
+            .seeds
+            .iter()
+            .copied()
+            .filter(|s| *s != self.own)
+            .collect();
+        let mut peers = seeds.clone();
+        let mut sources = Sources::new(reads_store, peers.len(), self.seed);
+        let mut mirror = Mirror::new(Options::default(), self.seed);
+        let mut updates = Vec::new();
+        let mut dependencies = Dependencies::default();
+        loop {
+            let call = mirror.next_call(now());
+            if let Call::Pause(span) = call {
+                thread::sleep(Duration::from_micros(span.as_micros()));
+                mirror.paused();
+                continue;
+            }
+            let cheap = matches!(call, Call::Range { stale: true, .. });
+            let source = sources.choose(now(), cheap);
+            let asked = Instant::now();
+            let result = self.ask(source, &mut peers, &call);
+            let answer = result
+                .as_ref()
+                .map_or(&Answer::Failed, |heard| &heard.answer);
+            self.meters.call(source, &call, answer, asked.elapsed());
+            sources.report(now(), source, result.is_ok());
+            dependencies.note(source, result.as_ref().err(), mirror.revision());
+            let heard = match result {
+                Ok(heard) => heard,
+                Err(_) => {
+                    if let Source::Peer(at) = source {
+                        peers[at] = seeds[at];
+                    }
+                    if source == Source::Store && !sources.has_peer(now()) {
+                        mirror.answer(now(), Answer::Failed, &mut updates);
+                    }
+                    self.feed.lost();
+                    continue;
                 }
-                answer
+            };
+            if heard.answer == Answer::Compacted {
+                info!(source:debug, revision = mirror.revision(); "history was dropped, reading all keys");
             }
-            Err(err) => {
-                if failing.is_none() {
-                    failing = Some(asked);
-                    warn!(dependency = "store", err:display, revision = mirror.revision(); "dependency lost");
+            self.feed.record(&heard.answer, heard.at);
+            mirror.answer(now(), heard.answer, &mut updates);
+            if updates.is_empty() {
+                continue;
+            }
+            let news = news(&mut updates, heard.at.elapsed(), mirror.revision());
+            if !self.inbox.send(Input::News(news)) {
+                return;
+            }
+        }
+    }
+
+    fn ask(
+        &self,
+        source: Source,
+        peers: &mut [SocketAddr],
+        call: &Call,
+    ) -> Result<Heard, StoreError> {
+        match source {
+            Source::Store => self.ask_store(call),
+            Source::Peer(at) => self.ask_peer(&mut peers[at], call),
+        }
+    }
+
+    fn ask_store(&self, call: &Call) -> Result<Heard, StoreError> {
+        let answer = match call {
+            Call::Range { after, stale } => self.store.range(PREFIX, after.as_deref(), *stale),
+            Call::Watch { after, wait } => {
+                let wait = Duration::from_micros(wait.as_micros());
+                self.store.watch(PREFIX, *after, wait)
+            }
+            Call::Pause(_) => Ok(Answer::Failed),
+        };
+        answer.map(|answer| Heard {
+            answer,
+            at: Instant::now(),
+        })
+    }
+
+    fn ask_peer(&self, peer: &mut SocketAddr, call: &Call) -> Result<Heard, StoreError> {
+        let answer = match call {
+            Call::Range { .. } => self.peers.all(*peer),
+            Call::Watch { after, wait } => {
+                let wait = Duration::from_micros(wait.as_micros());
+                let answer = self.peers.after(*peer, *after, wait);
+                match answer.as_ref().map(|answer| answer.instead) {
+                    Ok(Some(instead)) if instead != self.own => {
+                        debug!(peer:display, instead:display; "sent to another entry VM");
+                        *peer = instead;
+                        self.peers.after(*peer, *after, wait)
+                    }
+                    _ => answer,
                 }
-                Answer::Failed
             }
+            Call::Pause(_) => return Err(StoreError::Unavailable("nothing asked".to_owned())),
         };
-        meters.store_call(&call, &answer, asked.elapsed());
-        if answer == Answer::Compacted {
-            info!(dependency = "store", revision = mirror.revision(); "the store's history was dropped, reading all keys");
-        }
-        mirror.answer(now(), answer, &mut updates);
-        if updates.is_empty() {
-            continue;
+        let answer = answer?;
+        if answer.instead.is_some() {
+            return Err(StoreError::Unavailable("sent on twice".to_owned()));
         }
-        let news = news(&mut updates, mirror.revision());
-        if !inbox.send(Input::News(news)) {
-            return;
+        if answer.age > OLDEST_PEER_VIEW {
+            let age_ms = answer.age.as_millis();
+            return Err(StoreError::Malformed(format!(
+                "the view is {age_ms} ms old"
+            )));
         }
+        Ok(Heard {
+            answer: answer.answer,
+            at: Instant::now()
+                .checked_sub(answer.age)
+                .unwrap_or_else(Instant::now),
+        })
     }
 }
 
-fn ask(client: &StoreClient, call: &Call) -> Result<Answer, StoreError> {
-    match call {
-        Call::Range { after, stale } => client.range(PREFIX, after.as_deref(), *stale),
-        Call::Watch { after, wait } => {
-            client.watch(PREFIX, *after, Duration::from_micros(wait.as_micros()))
+/// Which sources failed, for one line a loss and a return.
+#[derive(Debug, Default)]
+struct Dependencies {
+    failing: Vec<(Source, Instant)>,
+}
+
+impl Dependencies {
+    fn note(&mut self, source: Source, err: Option<&StoreError>, revision: u64) {
+        let known = self.failing.iter().position(|f| f.0 == source);
+        match (known, err) {
+            (None, Some(err)) => {
+                self.failing.push((source, Instant::now()));
+                warn!(dependency:debug = source, err:display, revision; "dependency lost");
+            }
+            (Some(at), None) => {
+                let (_, since) = self.failing.swap_remove(at);
+                let lost_ms = since.elapsed().as_millis() as u64;
+                info!(dependency:debug = source, lost_ms, revision; "dependency regained");
+            }
+            _ => {}
         }
-        Call::Pause(_) => Ok(Answer::Failed),
     }
 }
 
-fn news(updates: &mut Vec<Update>, revision: u64) -> News {
+fn news(updates: &mut Vec<Update>, age: Duration, revision: u64) -> News {
     let mut news = News {
         changes: Vec::new(),
         current: false,
+        age,
         revision,
     };
     for update in updates.drain(..) {
--- a/crates/cicadaweird/src/steered/meters.rs
+++ b/crates/cicadaweird/src/steered/meters.rs
@@ -6,7 +6,7 @@
 };
 
 use cicadaweir_core::{
-    mirror::{Answer, Call},
+    mirror::{Answer, Call, Source},
     steer::{Counters, DropReason, Observation, ResetReason},
 };
 use log::error;
@@ -79,7 +79,7 @@
         r.register("request_seconds", help, self.request_time.clone());
         r.register(
             "store_calls",
-            "Calls of the store",
+            "Calls of the store and of other entry VMs",
             self.store_calls.clone(),
         );
         r.register(
@@ -98,8 +98,8 @@
         text
     }
 
-    /// Counts a call of the store.
-    pub fn store_call(&self, call: &Call, answer: &Answer, took: Duration) {
+    /// Counts a call of the store or of another entry VM.
+    pub fn call(&self, source: Source, call: &Call, answer: &Answer, took: Duration) {
         let kind = match call {
             Call::Range { stale: true, .. } => "stale_read",
             Call::Range { stale: false, .. } => "read",
@@ -111,7 +111,11 @@
             Answer::Compacted => "compacted",
             Answer::Page { .. } | Answer::Events { .. } => "ok",
         };
-        let labels = vec![("kind", kind), ("outcome", outcome)];
+        let source = match source {
+            Source::Store => "store",
+            Source::Peer(_) => "peer",
+        };
+        let labels = vec![("source", source), ("kind", kind), ("outcome", outcome)];
         self.store_calls.get_or_create(&labels).inc();
         if matches!(call, Call::Range { .. }) {
             self.store_time.observe(took.as_secs_f64());
--- a/crates/cicadaweird/src/steered/run.rs
+++ b/crates/cicadaweird/src/steered/run.rs
@@ -21,7 +21,7 @@
     socket::{Batch, BatchSocket},
 };
 
-use super::{Engine, News, StoreClient, endpoint, follow};
+use super::{Engine, Feed, FeedClient, Follower, News, StoreClient, endpoint};
 
 /// The longest sleep of the loop.
 const MAX_WAIT: Duration = Duration::from_secs(1);
@@ -134,10 +134,17 @@
         for address in [listen.ready, listen.metrics] {
             endpoint::start(address, engine.takes_packets(), Arc::clone(&meters))?;
         }
-        let client = StoreClient::new(engine.settings().store.address);
-        let seed = engine.seed();
-        let inbox = parts.inbox;
-        thread::spawn(move || follow(&client, seed, &meters, &inbox));
+        let follower = Follower {
+            store: StoreClient::new(engine.settings().store.address),
+            peers: FeedClient::new(listen.peer),
+            feed: Feed::start(listen.peer)?,
+            seeds: engine.settings().seeds.clone(),
+            own: listen.peer,
+            seed: engine.seed(),
+            meters,
+            inbox: parts.inbox,
+        };
+        thread::spawn(move || follower.run());
         let settings = engine.settings();
         info!(
             member = settings.member.name,
