perf: series of changes share a watch, and no rush on the store in its trouble

Also: a zone counts as silent by what was sent after its last answer; an old lone strike had kept zones from being noticed.

--- a/crates/cicadaweir-core/src/mirror/sources.rs
+++ b/crates/cicadaweir-core/src/mirror/sources.rs
@@ -2,18 +2,28 @@
 //!
 //! Load pattern: a change in the store wakes every waiting watch, and each is
 //! a call that the store counts. Only the seeds watch the store; all other
-//! entry VMs watch a seed, and go to the store themselves when no seed helps.
+//! entry VMs watch a seed. They go to the store themselves, after a while
+//! that differs between them, when no seed helps: otherwise a fleet would
+//! fall on the store at the very moment at which it is in trouble.
 
 use crate::time::{Duration, Instant};
 
-/// The shortest time for which a peer that failed is left alone.
-const PEER_REST: Duration = Duration::from_secs(3);
+/// How long a peer is left alone after its first failure.
+const PEER_REST: Duration = Duration::from_millis(250);
 
-/// The longest such time.
-const LONGEST_PEER_REST: Duration = Duration::from_secs(12);
+/// The longest time for which a peer is left alone.
+const LONGEST_PEER_REST: Duration = Duration::from_secs(3);
 
-/// How long the store is left alone after a failure if a peer can be asked.
-const STORE_REST: Duration = Duration::from_millis(800);
+/// How long the store is left alone after its first failure.
+const STORE_REST: Duration = Duration::from_millis(500);
+
+/// The longest time for which the store is left alone.
+const LONGEST_STORE_REST: Duration = Duration::from_secs(4);
+
+/// The shortest time without any peer before the store is asked; up to as
+/// much again is added by draw. With the rest of the way it leaves a change
+/// time to be in force within 3 s.
+const PATIENCE: Duration = Duration::from_millis(600);
 
 /// One place to ask.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,6 +34,15 @@
     Peer(usize),
 }
 
+/// What to do next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Choice {
+    /// Ask.
+    Ask(Source),
+    /// Wait; nobody is to be asked before.
+    Wait(Duration),
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct Rest {
     until: Instant,
@@ -32,7 +51,17 @@
 
 impl Rest {
     fn is_over(&self, now: Instant) -> bool {
-        self.failures == 0 || now >= self.until
+        now >= self.until
+    }
+
+    fn left(&self, now: Instant) -> Duration {
+        self.until.since(now)
+    }
+
+    fn fail(&mut self, now: Instant, shortest: Duration, longest: Duration) {
+        let span = shortest.times(1 << self.failures.min(4)).min(longest);
+        self.failures = self.failures.saturating_add(1);
+        self.until = now + span;
     }
 }
 
@@ -43,29 +72,43 @@
     peers: Vec<Rest>,
     first: usize,
     store: Rest,
+    patience: Duration,
+    alone_since: Option<Instant>,
 }
 
 impl Sources {
     /// Makes the choice for an entry VM with a number of peers to ask.
     /// `reads_store` tells whether it watches the store for the others, and
-    /// `draw` spreads the entry VMs over the peers.
+    /// `draw` spreads the entry VMs over the peers and over time.
     pub fn new(reads_store: bool, peers: usize, draw: u64) -> Self {
+        let more = (draw >> 32) % PATIENCE.as_micros();
         Self {
             reads_store,
             peers: vec![Rest::default(); peers],
             first: draw as usize % peers.max(1),
             store: Rest::default(),
+            patience: PATIENCE + Duration::from_micros(more),
+            alone_since: None,
         }
     }
 
     /// Returns whom to ask. `cheap` tells that the call costs the store next
     /// to nothing.
-    pub fn choose(&self, now: Instant, cheap: bool) -> Source {
+    pub fn choose(&mut self, now: Instant, cheap: bool) -> Choice {
         let store = self.store.is_over(now);
         if (self.reads_store || cheap) && store {
-            return Source::Store;
+            return Choice::Ask(Source::Store);
+        }
+        if let Some(peer) = self.peer(now) {
+            return Choice::Ask(Source::Peer(peer));
+        }
+        let alone = *self.alone_since.get_or_insert(now);
+        let store_at = self.store.left(now).max((alone + self.patience).since(now));
+        if self.peers.is_empty() || store_at == Duration::ZERO {
+            return Choice::Ask(Source::Store);
         }
-        self.peer(now).map_or(Source::Store, Source::Peer)
+        let peers = self.peers.iter().map(|rest| rest.left(now));
+        Choice::Wait(peers.min().unwrap_or(store_at).min(store_at))
     }
 
     /// Returns whether a peer can be asked.
@@ -75,22 +118,23 @@
 
     /// Notes what came of a call.
     pub fn report(&mut self, now: Instant, source: Source, served: bool) {
-        let (rest, shortest, longest) = match source {
-            Source::Store => (&mut self.store, STORE_REST, STORE_REST),
-            Source::Peer(at) => (&mut self.peers[at], PEER_REST, LONGEST_PEER_REST),
-        };
-        if served {
-            *rest = Rest::default();
-            return;
+        match (source, served) {
+            (Source::Store, true) => self.store = Rest::default(),
+            (Source::Store, false) if self.reads_store => {
+                self.store.fail(now, STORE_REST, STORE_REST);
+            }
+            (Source::Store, false) => self.store.fail(now, STORE_REST, LONGEST_STORE_REST),
+            (Source::Peer(at), true) => {
+                self.peers[at] = Rest::default();
+                self.alone_since = None;
+            }
+            (Source::Peer(at), false) => self.peers[at].fail(now, PEER_REST, LONGEST_PEER_REST),
         }
-        let span = shortest.times(1 << rest.failures.min(4)).min(longest);
-        rest.failures = rest.failures.saturating_add(1);
-        rest.until = now + span;
     }
 
     fn peer(&self, now: Instant) -> Option<usize> {
         let count = self.peers.len();
-        let order = (0..count).map(|at| (self.first + at) % count);
-        order.into_iter().find(|&at| self.peers[at].is_over(now))
+        let mut order = (0..count).map(|at| (self.first + at) % count);
+        order.find(|&at| self.peers[at].is_over(now))
     }
 }
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -573,8 +573,9 @@
     }
 
     /// Returns the availability zones that seem cut off: several of a zone's
-    /// targets went unanswered, none of its targets has answered since, and
-    /// other zones have. At least `strikes` unanswered packets are wanted.
+    /// targets left unanswered what was sent after the zone's last answer, and
+    /// other zones have answered since. At least `strikes` unanswered packets
+    /// are wanted.
     fn silent_zones(&self, strikes: u32) -> ZoneSet {
         if self.suspicion.iter().all(|s| s.strikes() == 0) {
             return ZoneSet::default();
@@ -582,7 +583,8 @@
         let mut silences = [ZoneSilence::default(); ZoneSet::MOST];
         for (key, entry) in self.directory.targets() {
             let suspicion = &self.suspicion[key.0 as usize];
-            if let Some(since) = suspicion.silent_since()
+            if let Some(since) = suspicion.unanswered_since()
+                && !self.has_answered(entry.zone, since)
                 && let Some(silence) = silences.get_mut(usize::from(entry.zone.0))
             {
                 silence.add(since, suspicion.strikes());
@@ -596,7 +598,6 @@
             let zone = ZoneId(zone as u16);
             if silence.targets >= self.options.zone_targets
                 && silence.strikes >= strikes
-                && !self.has_answered(zone, since)
                 && self.has_answered_elsewhere(zone, since)
             {
                 set.insert(zone);
--- a/crates/cicadaweir-core/src/steer/suspicion.rs
+++ b/crates/cicadaweir-core/src/steer/suspicion.rs
@@ -26,6 +26,7 @@
     last_answer: Option<Instant>,
     strikes: u32,
     first_strike: Instant,
+    last_sent: Instant,
     /// Strikes that count as proof: none of them lies long before the next.
     proof: u32,
     last_strike: Instant,
@@ -47,6 +48,7 @@
             self.first_strike = sent;
         }
         self.strikes += 1;
+        self.last_sent = sent;
         let fresh = before && now.since(self.last_strike) <= options.proof_memory;
         self.proof = if fresh { self.proof + 1 } else { 1 };
         self.last_strike = now;
@@ -91,6 +93,12 @@
         (self.strikes > 0).then_some(self.first_strike)
     }
 
+    /// Returns when the latest thing that went unanswered was sent, if the
+    /// target is suspected.
+    pub fn unanswered_since(&self) -> Option<Instant> {
+        (self.strikes > 0).then_some(self.last_sent)
+    }
+
     /// Returns how often it went unanswered since the last answer.
     pub const fn strikes(&self) -> u32 {
         self.strikes
--- a/crates/cicadaweird/src/steered/follow.rs
+++ b/crates/cicadaweird/src/steered/follow.rs
@@ -8,7 +8,7 @@
 };
 
 use cicadaweir_core::{
-    mirror::{Answer, Call, Mirror, Options, Source, Sources, Update},
+    mirror::{Answer, Call, Choice, Mirror, Options, Source, Sources, Update},
     steer::Change,
     time,
 };
@@ -24,6 +24,13 @@
 /// of whom it follows.
 const OLDEST_PEER_VIEW: Duration = Duration::from_millis(2_500);
 
+/// The time between two watches of the store: changes often come in series,
+/// and each watch is a call.
+const WATCHES_APART: Duration = Duration::from_millis(150);
+
+/// The time between two watches of another entry VM.
+const PEER_WATCHES_APART: Duration = Duration::from_millis(20);
+
 /// What the store has shown.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct News {
@@ -80,6 +87,7 @@
         let mut mirror = Mirror::new(Options::default(), self.seed);
         let mut updates = Vec::new();
         let mut dependencies = Dependencies::default();
+        let mut last_news = start;
         loop {
             let call = mirror.next_call(now());
             if let Call::Pause(span) = call {
@@ -88,7 +96,18 @@
                 continue;
             }
             let cheap = matches!(call, Call::Range { stale: true, .. });
-            let source = sources.choose(now(), cheap);
+            let source = match sources.choose(now(), cheap) {
+                Choice::Ask(source) => source,
+                Choice::Wait(span) => {
+                    thread::sleep(Duration::from_micros(span.as_micros()));
+                    continue;
+                }
+            };
+            let apart = match source {
+                Source::Store => WATCHES_APART,
+                Source::Peer(_) => PEER_WATCHES_APART,
+            };
+            thread::sleep(apart.saturating_sub(last_news.elapsed()));
             let asked = Instant::now();
             let result = self.ask(source, &mut peers, &call);
             let answer = result
@@ -113,6 +132,9 @@
             if heard.answer == Answer::Compacted {
                 info!(source:debug, revision = mirror.revision(); "history was dropped, reading all keys");
             }
+            if matches!(&heard.answer, Answer::Events { items, .. } if !items.is_empty()) {
+                last_news = Instant::now();
+            }
             self.feed.record(&heard.answer, heard.at);
             mirror.answer(now(), heard.answer, &mut updates);
             if updates.is_empty() {
