fix: read the store at once after the start

Cause: the pause between watches also delayed the first read by 150 ms, so a restarted entry VM kept all packets waiting that long.

--- a/crates/cicadaweird/src/steered/follow.rs
+++ b/crates/cicadaweird/src/steered/follow.rs
@@ -87,7 +87,7 @@
         let mut mirror = Mirror::new(Options::default(), self.seed);
         let mut updates = Vec::new();
         let mut dependencies = Dependencies::default();
-        let mut last_news = start;
+        let mut last_news: Option<Instant> = None;
         loop {
             let call = mirror.next_call(now());
             if let Call::Pause(span) = call {
@@ -107,7 +107,9 @@
                 Source::Store => WATCHES_APART,
                 Source::Peer(_) => PEER_WATCHES_APART,
             };
-            thread::sleep(apart.saturating_sub(last_news.elapsed()));
+            if let Some(at) = last_news {
+                thread::sleep(apart.saturating_sub(at.elapsed()));
+            }
             let asked = Instant::now();
             let result = self.ask(source, &mut peers, &call);
             let answer = result
@@ -133,7 +135,7 @@
                 info!(source:debug, revision = mirror.revision(); "history was dropped, reading all keys");
             }
             if matches!(&heard.answer, Answer::Events { items, .. } if !items.is_empty()) {
-                last_news = Instant::now();
+                last_news = Some(Instant::now());
             }
             self.feed.record(&heard.answer, heard.at);
             mirror.answer(now(), heard.answer, &mut updates);
