test: steering, suspicion, waiting and the mirror, with a property over seeds

Two faults found and mended: a flow whose caller took the answer of a target that is not known here was sent to another (property over seeds), and an answer of a peer after a failed call of the store left the mirror pausing with a counter below zero (overflow).

--- a/crates/cicadaweir-core/src/mirror.rs
+++ b/crates/cicadaweir-core/src/mirror.rs
@@ -168,6 +168,7 @@
 
     fn regain(&mut self, now: Instant) {
         self.failures = 0;
+        self.must_pause = false;
         if self.lost_at.take().is_some() {
             self.regained_at = Some(now);
         }
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -445,13 +445,15 @@
         let Some(mut flow) = self.flows.get_mut(&segment.flow).copied() else {
             return self.adopt(now, segment);
         };
-        let placed = flow.phase == FlowPhase::Opening;
-        if let Some(named) = placed
-            .then(|| self.directory.by_cookie(segment.cookie))
-            .flatten()
-            && named != flow.target
-        {
-            self.move_flow(&mut flow, named, now);
+        if flow.phase == FlowPhase::Opening {
+            match self.directory.by_cookie(segment.cookie) {
+                Some(named) if named != flow.target => self.move_flow(&mut flow, named, now),
+                Some(_) => {}
+                None if segment.cookie.is_some() => {
+                    return Verdict::Drop(DropReason::TargetUnknown);
+                }
+                None => {}
+            }
         }
         let progress = flow.observe(segment, now);
         self.flows.insert(segment.flow, flow, usize::MAX);
--- /dev/null
+++ b/crates/cicadaweir-core/tests/mirror/log.rs
@@ -0,0 +1,84 @@
+//! What an entry VM tells others of the store.
+
+use cicadaweir_core::mirror::{Answer, Item, Log, Unknown};
+
+fn item(key: &str, revision: u64, written: bool) -> Item {
+    Item {
+        key: key.to_owned(),
+        value: written.then(Vec::new),
+        revision,
+    }
+}
+
+fn started() -> Log {
+    let mut log = Log::default();
+    log.record(&Answer::Page {
+        items: vec![item("a", 1, true), item("b", 2, true)],
+        has_more: false,
+        as_of: 5,
+    });
+    log
+}
+
+#[test]
+fn nothing_is_told_before_all_keys_are_known() {
+    let mut log = Log::default();
+    assert_eq!(log.after(0), Err(Unknown::Behind));
+    log.record(&Answer::Page {
+        items: vec![item("a", 1, true)],
+        has_more: true,
+        as_of: 5,
+    });
+    assert_eq!(log.all(), None);
+    log.record(&Answer::Events {
+        items: vec![item("z", 6, true)],
+        as_of: 6,
+    });
+    assert_eq!(
+        log.revision(),
+        None,
+        "events before the last page are not complete"
+    );
+}
+
+#[test]
+fn changes_are_told_after_the_revision_that_is_known() {
+    let mut log = started();
+    log.record(&Answer::Events {
+        items: vec![item("a", 6, false), item("c", 8, true)],
+        as_of: 9,
+    });
+    let later = |revision| match log.after(revision) {
+        Ok(Answer::Events { items, as_of }) => (items.len(), as_of),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(later(5), (2, 9));
+    assert_eq!(later(6), (1, 9));
+    assert_eq!(later(9), (0, 9));
+    assert_eq!(log.after(10), Err(Unknown::Behind));
+    assert_eq!(log.after(4), Err(Unknown::Compacted));
+    let Some(Answer::Page {
+        mut items, as_of, ..
+    }) = log.all()
+    else {
+        panic!("all keys are known");
+    };
+    items.sort_by(|a, b| a.key.cmp(&b.key));
+    assert_eq!(
+        (items[0].key.as_str(), items[1].key.as_str(), as_of),
+        ("b", "c", 9)
+    );
+}
+
+#[test]
+fn old_changes_are_dropped_and_said_to_be() {
+    let mut log = started();
+    for revision in 6..3_000 {
+        log.record(&Answer::Events {
+            items: vec![item("a", revision, true)],
+            as_of: revision,
+        });
+    }
+    assert_eq!(log.after(5), Err(Unknown::Compacted));
+    assert!(log.after(2_900).is_ok());
+}
--- /dev/null
+++ b/crates/cicadaweir-core/tests/mirror/main.rs
@@ -0,0 +1,5 @@
+//! Following the store.
+
+mod copy;
+mod log;
+mod sources;
--- /dev/null
+++ b/crates/cicadaweir-core/tests/mirror/sources.rs
@@ -0,0 +1,88 @@
+//! Whom to ask.
+
+use cicadaweir_core::{
+    mirror::{Choice, Source, Sources},
+    time::Instant,
+};
+
+fn ms(millis: u64) -> Instant {
+    Instant::from_micros(millis * 1_000)
+}
+
+#[test]
+fn a_seed_asks_the_store_and_then_other_seeds() {
+    let mut sources = Sources::new(true, 2, 0);
+    assert_eq!(sources.choose(ms(0), false), Choice::Ask(Source::Store));
+    sources.report(ms(0), Source::Store, false);
+    assert!(matches!(
+        sources.choose(ms(1), false),
+        Choice::Ask(Source::Peer(_))
+    ));
+    assert_eq!(sources.choose(ms(600), false), Choice::Ask(Source::Store));
+}
+
+#[test]
+fn the_others_ask_a_seed_and_only_cheap_reads_go_to_the_store() {
+    let mut sources = Sources::new(false, 3, 1);
+    assert_eq!(sources.choose(ms(0), true), Choice::Ask(Source::Store));
+    assert_eq!(sources.choose(ms(0), false), Choice::Ask(Source::Peer(1)));
+    sources.report(ms(0), Source::Peer(1), false);
+    assert_eq!(sources.choose(ms(0), false), Choice::Ask(Source::Peer(2)));
+}
+
+// Replays a store that goes down under a fleet: the seeds say that they have
+// lost it, all at the same moment.
+#[test]
+fn a_fleet_does_not_fall_on_the_store_at_once() {
+    let mut first_calls = Vec::new();
+    for draw in 0..66u64 {
+        let mut sources = Sources::new(false, 3, draw << 32 | draw * 977_131 << 13);
+        let mut at = 0;
+        loop {
+            match sources.choose(ms(at), false) {
+                Choice::Ask(Source::Store) => break,
+                Choice::Ask(source) => sources.report(ms(at), source, false),
+                Choice::Wait(span) => at += span.as_millis().max(1),
+            }
+        }
+        first_calls.push(at);
+    }
+    let early = first_calls.iter().filter(|&&at| at < 600).count();
+    assert_eq!(early, 0, "{first_calls:?}");
+    assert!(first_calls.iter().all(|&at| at <= 1_250), "{first_calls:?}");
+}
+
+#[test]
+fn an_entry_vm_alone_goes_to_the_store_and_returns_to_a_seed_that_serves() {
+    let mut sources = Sources::new(false, 1, 0);
+    let mut now = 0;
+    let mut calls = 0;
+    while now < 10_000 {
+        match sources.choose(ms(now), false) {
+            Choice::Ask(Source::Store) => {
+                calls += 1;
+                sources.report(ms(now), Source::Store, false);
+            }
+            Choice::Ask(source) => sources.report(ms(now), source, false),
+            Choice::Wait(span) => now += span.as_millis().max(1),
+        }
+    }
+    assert!(
+        (3..=6).contains(&calls),
+        "{calls} calls in ten seconds without the store"
+    );
+    let peer = Source::Peer(0);
+    now += 3_000;
+    assert_eq!(sources.choose(ms(now), false), Choice::Ask(peer));
+    sources.report(ms(now), peer, true);
+    assert_eq!(sources.choose(ms(now + 1), false), Choice::Ask(peer));
+}
+
+#[test]
+fn without_peers_the_store_is_all_there_is() {
+    let mut sources = Sources::new(false, 0, 9);
+    for at in 0..5 {
+        assert_eq!(sources.choose(ms(at), false), Choice::Ask(Source::Store));
+        sources.report(ms(at), Source::Store, false);
+    }
+}
--- /dev/null
+++ b/crates/cicadaweir-core/tests/steer/main.rs
@@ -0,0 +1,9 @@
+//! Steering by cookie.
+
+mod directory;
+mod flows;
+mod openings;
+mod properties;
+mod suspicion;
+mod waiting;
+mod world;
--- /dev/null
+++ b/crates/cicadaweir-core/tests/steer/waiting.rs
@@ -0,0 +1,107 @@
+//! Packets that can't be decided yet.
+
+use cicadaweir_core::{
+    packet::PacketRef,
+    prelude::*,
+    steer::{Change, DropReason, Options, Steering, Verdict, WaitReason},
+};
+
+use crate::world::{BOARD, chosen, cookie, data, entry_vm_with, flow, ms, opening, routes, target};
+
+/// Hands over everything that can be decided, as the driver does.
+fn release(vm: &mut Steering, now: Instant) -> Vec<(u32, Verdict)> {
+    let mut decided = Vec::new();
+    while let Some(next) = vm.next_waiter(now) {
+        match next {
+            Ok(waiter) => decided.push((waiter.packet.0, vm.waited(now, &waiter))),
+            Err(waiter) => decided.push((waiter.packet.0, Verdict::Drop(DropReason::Waited))),
+        }
+    }
+    decided
+}
+
+// Replays the restart of all entry VMs: callers go on sending while the store
+// hasn't been read.
+#[test]
+fn packets_before_the_first_view_wait_for_it() {
+    let mut vm = Steering::new(Options::default(), "a", 1);
+    let packets = [
+        opening(flow(1, BOARD), 0),
+        data(flow(2, BOARD), cookie(3), 101, 1_000),
+        opening(flow(3, BOARD), 2),
+    ];
+    for (at, packet) in packets.iter().enumerate() {
+        let now = ms(10 * at as u64);
+        assert_eq!(vm.packet(now, packet), Verdict::Wait(WaitReason::View));
+        vm.wait(now, packet, PacketRef(at as u32));
+    }
+    let copy = opening(flow(1, BOARD), 1);
+    assert_eq!(vm.packet(ms(40), &copy), Verdict::Drop(DropReason::Copy));
+    assert!(release(&mut vm, ms(45)).is_empty());
+    vm.apply(ms(50), Change::Routes(routes(1)));
+    vm.apply(ms(50), Change::Target(target(3, "classes", "a")));
+    vm.apply(ms(50), Change::Target(target(4, "classes", "a")));
+    let decided = release(&mut vm, ms(50));
+    assert_eq!(decided.len(), 3);
+    for (packet, verdict) in decided {
+        let n = chosen(&vm, verdict);
+        assert!(packet != 1 || n == 3, "the open flow goes by its cookie");
+    }
+}
+
+#[test]
+fn nothing_waits_longer_than_its_caller() {
+    let mut vm = Steering::new(Options::default(), "a", 1);
+    let packet = opening(flow(1, BOARD), 0);
+    assert!(matches!(vm.packet(ms(0), &packet), Verdict::Wait(_)));
+    vm.wait(ms(0), &packet, PacketRef(7));
+    let end = ms(0) + Options::default().view_patience;
+    assert_eq!(
+        release(&mut vm, end),
+        [(7, Verdict::Drop(DropReason::Waited))]
+    );
+    assert!(!vm.has_waiting());
+}
+
+// Replays a crowd: more openings at once than all targets have slots.
+#[test]
+fn openings_wait_for_room_and_the_latest_goes_first() {
+    let mut vm = entry_vm_with(2, Options::default());
+    let mut waiting = Vec::new();
+    for caller in 0..8u16 {
+        let packet = opening(flow(caller, BOARD), 0);
+        match vm.packet(ms(0), &packet) {
+            Verdict::Place { .. } => {}
+            Verdict::Wait(WaitReason::Room) => {
+                vm.wait(ms(0), &packet, PacketRef(u32::from(caller)));
+                waiting.push(u32::from(caller));
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(waiting, [4, 5, 6, 7], "two targets have two slots each");
+    assert!(release(&mut vm, ms(10)).is_empty());
+    crate::world::close(&mut vm, ms(20), flow(0, BOARD));
+    let decided = release(&mut vm, ms(20));
+    assert_eq!(decided.iter().map(|d| d.0).collect::<Vec<_>>(), [7]);
+    let patience = ms(0) + Options::default().room_patience;
+    let decided: Vec<u32> = release(&mut vm, patience).iter().map(|d| d.0).collect();
+    assert_eq!(decided, [4, 5, 6], "nobody waits longer than the bound");
+}
+
+#[test]
+fn too_many_packets_are_dropped_rather_than_kept() {
+    let options = Options {
+        most_waiting: 2,
+        ..Options::default()
+    };
+    let mut vm = Steering::new(options, "a", 1);
+    for caller in 0..4 {
+        let packet = opening(flow(caller, BOARD), 0);
+        match vm.packet(ms(0), &packet) {
+            Verdict::Wait(_) => vm.wait(ms(0), &packet, PacketRef(u32::from(caller))),
+            other => assert_eq!(other, Verdict::Drop(DropReason::Waited)),
+        }
+    }
+    assert_eq!(vm.counters().waits, 2);
+}
