--- a/crates/cicadaweir-standins/src/lib.rs
+++ b/crates/cicadaweir-standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! | module | stands in for |
 //! |---|---|
 //! | [`platform`] | the key-value service and the membership list, over HTTP |
+//! | [`store`] | the users' platform's key-value store, with its troubles |
 //! | [`fabric`] | the network that sprays packets over the entry VMs |
 //! | [`target`] | a target with slots, connections and a load endpoint |
 //! | [`caller`] | many callers, each with one flow |
@@ -18,4 +19,5 @@
 pub mod platform;
 pub mod segment;
 pub mod site;
+pub mod store;
 pub mod target;
--- /dev/null
+++ b/crates/cicadaweir-standins/src/store.rs
@@ -0,0 +1,10 @@
+//! A small key-value store that speaks the platform's calls, with what can be
+//! wrong with it.
+
+mod faults;
+mod history;
+mod server;
+
+pub use faults::{Service, StoreFaults};
+pub use history::{Entry, History};
+pub use server::{StoreCounts, StoreServer};
--- /dev/null
+++ b/crates/cicadaweir-standins/src/store/server.rs
@@ -0,0 +1,237 @@
+//! The HTTP server of a store.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use serde_json::{Value, json};
+use tiny_http::{Request, Response, Server};
+
+use super::{Entry, History, Service, StoreFaults};
+
+/// How often the server looks whether it is to end.
+const PATIENCE: Duration = Duration::from_millis(100);
+
+/// Keys on a page.
+const PAGE: usize = 50;
+
+/// How long a silent store holds a call.
+const SILENCE: Duration = Duration::from_secs(10);
+
+/// Calls taken so far, whatever became of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct StoreCounts {
+    /// Reads that had to be up to date.
+    pub reads: u64,
+    /// Reads that could be stale.
+    pub stale_reads: u64,
+    /// Watches.
+    pub watches: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    history: History,
+    faults: StoreFaults,
+    counts: StoreCounts,
+}
+
+#[derive(Debug, Default)]
+struct Core {
+    state: Mutex<State>,
+    changed: Condvar,
+    ended: AtomicBool,
+}
+
+/// A store on one address.
+#[derive(Debug)]
+pub struct StoreServer {
+    core: Arc<Core>,
+    addr: SocketAddr,
+}
+
+impl StoreServer {
+    /// Starts a store without keys.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error, with the address in it.
+    pub fn start(addr: SocketAddr) -> io::Result<Self> {
+        let server =
+            Server::http(addr).map_err(|err| io::Error::other(format!("{addr}: {err}")))?;
+        let core = Arc::new(Core::default());
+        let shared = Arc::clone(&core);
+        thread::spawn(move || {
+            while !shared.ended.load(Ordering::Relaxed) {
+                let Ok(Some(req)) = server.recv_timeout(PATIENCE) else {
+                    continue;
+                };
+                let shared = Arc::clone(&shared);
+                thread::spawn(move || shared.serve(req));
+            }
+        });
+        Ok(Self { core, addr })
+    }
+
+    /// Returns the address.
+    pub const fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Writes a key.
+    pub fn put(&self, key: &str, value: &[u8]) {
+        self.core.lock().history.change(key, Some(value.to_vec()));
+        self.core.changed.notify_all();
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        self.core.lock().history.change(key, None);
+        self.core.changed.notify_all();
+    }
+
+    /// Forgets the history.
+    pub fn compact(&self) {
+        self.core.lock().history.compact();
+        self.core.changed.notify_all();
+    }
+
+    /// Sets what is wrong.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        self.core.lock().faults = faults;
+        self.core.changed.notify_all();
+    }
+
+    /// Returns the calls taken so far.
+    pub fn counts(&self) -> StoreCounts {
+        self.core.lock().counts
+    }
+}
+
+impl Drop for StoreServer {
+    fn drop(&mut self) {
+        self.core.ended.store(true, Ordering::Relaxed);
+        self.core.changed.notify_all();
+    }
+}
+
+impl Core {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn serve(&self, req: Request) {
+        let url = req.url().to_owned();
+        let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+        let faults = self.lock().faults;
+        thread::sleep(faults.slow);
+        match faults.service {
+            Service::Serving => {}
+            Service::Busy => return answer(req, 503, &Value::Null),
+            Service::Silent => {
+                self.wait_for_service();
+                return answer(req, 503, &Value::Null);
+            }
+        }
+        let (code, body) = match path {
+            "/-/kv-range" => self.range(query),
+            "/-/kv-watch" => self.watch(query),
+            _ => (404, Value::Null),
+        };
+        answer(req, code, &body);
+    }
+
+    fn wait_for_service(&self) {
+        let until = Instant::now() + SILENCE;
+        let mut state = self.lock();
+        while state.faults.service == Service::Silent && Instant::now() < until {
+            state = self
+                .changed
+                .wait_timeout(state, PATIENCE)
+                .map_or_else(|err| err.into_inner().0, |waited| waited.0);
+        }
+    }
+
+    fn range(&self, query: &str) -> (u16, Value) {
+        let mut state = self.lock();
+        let stale = argument(query, "staleOk").is_some();
+        let behind = if stale { state.faults.stale_by } else { 0 };
+        state.counts.stale_reads += u64::from(stale);
+        state.counts.reads += u64::from(!stale);
+        let as_of = state.history.revision().saturating_sub(behind);
+        let prefix = argument(query, "prefix").unwrap_or_default();
+        let after = argument(query, "after").unwrap_or_default();
+        let keys = state.history.as_of(as_of, &prefix);
+        let mut later = keys.into_iter().filter(|entry| entry.key > after);
+        let items: Vec<Value> = later.by_ref().take(PAGE).map(item).collect();
+        let more = later.next().is_some();
+        (200, json!({"items": items, "hasMore": more, "asOf": as_of}))
+    }
+
+    fn watch(&self, query: &str) -> (u16, Value) {
+        let number = |name| argument(query, name).and_then(|text| text.parse().ok());
+        let prefix = argument(query, "prefix").unwrap_or_default();
+        let (after, wait) = (number("after").unwrap_or(0), number("waitMs").unwrap_or(0));
+        let until = Instant::now() + Duration::from_millis(wait);
+        let mut state = self.lock();
+        state.counts.watches += 1;
+        loop {
+            if state.faults.service != Service::Serving {
+                return (503, Value::Null);
+            }
+            let Some(events) = state.history.after(after, &prefix) else {
+                return (410, Value::Null);
+            };
+            let over = Instant::now() >= until || self.ended.load(Ordering::Relaxed);
+            if !events.is_empty() || over {
+                let events: Vec<Value> = events.into_iter().map(item).collect();
+                let as_of = state.history.revision();
+                return (200, json!({"events": events, "asOf": as_of}));
+            }
+            state = self
+                .changed
+                .wait_timeout(state, PATIENCE)
+                .map_or_else(|err| err.into_inner().0, |waited| waited.0);
+        }
+    }
+}
+
+fn item(entry: &Entry) -> Value {
+    let (key, revision) = (&entry.key, entry.revision);
+    match &entry.value {
+        Some(value) => {
+            let value = STANDARD.encode(value);
+            json!({"key": key, "value": value, "revision": revision, "createRev": 1, "lease": 0})
+        }
+        None => json!({"key": key, "revision": revision, "deleted": true}),
+    }
+}
+
+fn argument(query: &str, name: &str) -> Option<String> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let value = pairs.find(|pair| pair.0 == name)?.1;
+    let mut bytes = Vec::new();
+    let mut rest = value.bytes();
+    while let Some(byte) = rest.next() {
+        if byte == b'%' {
+            let digits: String = rest.by_ref().take(2).map(char::from).collect();
+            bytes.push(u8::from_str_radix(&digits, 16).unwrap_or(b'%'));
+        } else {
+            bytes.push(byte);
+        }
+    }
+    String::from_utf8(bytes).ok()
+}
+
+fn answer(req: Request, code: u16, body: &Value) {
+    // A caller that has gone away needs no answer.
+    let _ = req.respond(Response::from_string(body.to_string()).with_status_code(code));
+}
--- /dev/null
+++ b/crates/cicadaweird/tests/steered/feed.rs
@@ -0,0 +1,65 @@
+//! Daemons that learn of the store from others.
+
+use crate::site::{BOARD, SYN, Site, packet};
+
+#[test]
+fn a_daemon_that_cannot_reach_the_store_starts_and_follows_through_a_seed() {
+    let site = Site::start(21, 2);
+    let seed = site.daemon(1, &[1]);
+    site.wait_ready(&seed);
+    let nobody = site.at(249, 1);
+    let follower = site.daemon_with_store(2, &[1], nobody);
+    site.wait_ready(&follower);
+    let (n, _) = site.deliver(&follower, &packet(1, BOARD, SYN, 0, &[]));
+    assert!(n > 0);
+    site.put_config(8, &[BOARD, 81]);
+    site.wait_version(&follower, 8.0);
+    site.store.compact();
+    site.put_config(12, &[BOARD, 82]);
+    site.wait_version(&follower, 12.0);
+}
+
+#[test]
+fn a_follower_goes_to_the_store_when_its_seeds_are_gone() {
+    let site = Site::start(22, 1);
+    let seed = site.daemon(1, &[1]);
+    site.wait_ready(&seed);
+    let follower = site.daemon(2, &[1]);
+    site.wait_ready(&follower);
+    site.put_config(4, &[BOARD, 81]);
+    site.wait_version(&follower, 4.0);
+    drop(seed);
+    site.put_config(6, &[BOARD, 82]);
+    site.wait_version(&follower, 6.0);
+    let again = site.daemon(1, &[1]);
+    site.wait_ready(&again);
+    site.put_config(7, &[BOARD, 83]);
+    site.wait_version(&follower, 7.0);
+}
+
+#[test]
+fn a_seed_that_stands_still_does_not_hold_its_followers_up() {
+    let site = Site::start(23, 1);
+    let seed = site.daemon(1, &[1]);
+    site.wait_ready(&seed);
+    let follower = site.daemon(2, &[1]);
+    site.wait_ready(&follower);
+    site.put_config(2, &[BOARD, 80]);
+    site.wait_version(&follower, 2.0);
+    seed.signal("STOP");
+    site.put_config(4, &[BOARD, 81]);
+    site.wait_version(&follower, 4.0);
+    seed.signal("CONT");
+    site.put_config(5, &[BOARD, 82]);
+    site.wait_version(&seed, 5.0);
+    site.wait_version(&follower, 5.0);
+}
+
+#[test]
+fn seeds_that_are_all_gone_and_stale_addresses_do_not_keep_a_daemon_from_starting() {
+    let site = Site::start(24, 1);
+    let daemon = site.daemon(3, &[77, 78]);
+    site.wait_ready(&daemon);
+    site.put_config(9, &[BOARD, 81]);
+    site.wait_version(&daemon, 9.0);
+}
