--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -124,6 +124,17 @@
             .map_or(Trust::Trusted, |s| s.trust(now))
     }
 
+    /// Returns what speaks against a target now: repetitions that count as
+    /// proof, and how long it has been silent.
+    pub fn proof(&self, now: Instant, target: TargetKey) -> (u32, Duration) {
+        let Some(suspicion) = self.suspicion.get(target.0 as usize) else {
+            return (0, Duration::ZERO);
+        };
+        let silent = suspicion.silent_since().map(|at| now.since(at));
+        let proof = suspicion.proof(now, &self.options);
+        (proof, silent.unwrap_or(Duration::ZERO))
+    }
+
     /// Returns how many flows are remembered.
     pub fn flow_count(&self) -> usize {
         self.flows.len()
--- a/crates/cicadaweir-core/tests/mirror/sources.rs
+++ b/crates/cicadaweir-core/tests/mirror/sources.rs
@@ -36,7 +36,7 @@
 fn a_fleet_does_not_fall_on_the_store_at_once() {
     let mut first_calls = Vec::new();
     for draw in 0..66u64 {
-        let mut sources = Sources::new(false, 3, draw << 32 | draw * 977_131 << 13);
+        let mut sources = Sources::new(false, 3, (draw * 977_131 * 8_192) ^ draw);
         let mut at = 0;
         loop {
             match sources.choose(ms(at), false) {
--- a/crates/cicadaweird/src/steered/engine.rs
+++ b/crates/cicadaweird/src/steered/engine.rs
@@ -325,8 +325,9 @@
     }
 
     fn observe(&mut self) {
-        self.steering.take_observations(&mut self.observations);
-        for observation in std::mem::take(&mut self.observations) {
+        let mut observations = std::mem::take(&mut self.observations);
+        self.steering.take_observations(&mut observations);
+        for observation in observations.drain(..) {
             self.meters.observe(&observation);
             match observation {
                 Observation::Suspected { target, silent } => {
@@ -339,11 +340,11 @@
                 Observation::OpeningAnswered { .. } | Observation::RequestAnswered { .. } => {}
             }
         }
+        self.observations = observations;
     }
 
-    fn view_age_ms(&self) -> u64 {
-        let age = self.steering.view_age(self.now);
-        age.map_or(u64::MAX, |age| age.as_millis())
+    fn view_age_ms(&self) -> Option<u64> {
+        self.steering.view_age(self.now).map(|age| age.as_millis())
     }
 
     fn log_opening(&mut self, segment: &Segment, target: TargetKey, inputs: &OpeningInputs) {
@@ -385,11 +386,18 @@
         if !self.budget.allows(Kind::Reset, self.clock) {
             return;
         }
+        let directory = self.steering.directory();
+        let target = directory.by_cookie(segment.cookie);
+        let (strikes, silent) = target.map_or((0, time::Duration::ZERO), |target| {
+            self.steering.proof(self.now, target)
+        });
         info!(
             flow:display = segment.flow,
-            cookie:display = segment.cookie,
             reason:display = reason,
-            version = self.steering.directory().version(),
+            target_name = target.and_then(|key| directory.target(key)).map(|entry| &*entry.name),
+            strikes,
+            silent_ms = silent.as_millis(),
+            version = directory.version(),
             view_age_ms = self.view_age_ms();
             "flow reset"
         );
