fix: go on from the oldest of several stale pages, and serve from the first

Also a stale read was taken for a fresh view. Bodies of reads may now take longer than their beginning: 300 entry VMs that start at once share the store's link.

--- a/crates/cicadaweir-core/src/mirror.rs
+++ b/crates/cicadaweir-core/src/mirror.rs
@@ -41,7 +41,8 @@
     stage: Stage,
     /// Where the next watch continues.
     revision: u64,
-    /// The revision of the first page of the read in progress.
+    /// The lowest revision of the pages of the read in progress: stale pages
+    /// may differ, and a later one may be older.
     read_from: Option<u64>,
     page_after: Option<String>,
     seen: HashSet<String>,
@@ -193,7 +194,8 @@
             self.lose(now);
             return self.read_again(false);
         }
-        let from = *self.read_from.get_or_insert(as_of);
+        let from = self.read_from.map_or(as_of, |from| from.min(as_of));
+        self.read_from = Some(from);
         self.page_after = items.last().map(|item| item.key.clone());
         for item in items {
             self.seen.insert(item.key.clone());
@@ -211,11 +213,16 @@
         for key in gone {
             self.remove(now, key, from);
         }
+        let stale = self.stage == Stage::Reading { stale: true };
         self.read_again(false);
         self.stage = Stage::Watching;
         self.revision = self.revision.max(from);
         self.complete = true;
-        updates.push(Update::Current);
+        updates.push(if stale {
+            Update::Complete
+        } else {
+            Update::Current
+        });
     }
 
     fn take(&mut self, now: Instant, item: Item, updates: &mut Vec<Update>) {
--- a/crates/cicadaweir-core/src/mirror/log.rs
+++ b/crates/cicadaweir-core/src/mirror/log.rs
@@ -92,7 +92,8 @@
             self.reading = None;
             return;
         }
-        let (_, values) = self.reading.get_or_insert_with(|| (as_of, Values::new()));
+        let (from, values) = self.reading.get_or_insert_with(|| (as_of, Values::new()));
+        *from = as_of.min(*from);
         for item in items {
             if let Some(value) = &item.value {
                 values.insert(item.key.clone(), (item.revision, value.clone()));
--- a/crates/cicadaweir-core/src/mirror/update.rs
+++ b/crates/cicadaweir-core/src/mirror/update.rs
@@ -78,6 +78,8 @@
         /// The revision of the removal, or of the read that missed it.
         revision: u64,
     },
+    /// The copy is complete up to some state of the store, seconds old maybe.
+    Complete,
     /// The copy is complete up to the store's state of a moment ago.
     Current,
 }
--- a/crates/cicadaweir-core/src/steer/options.rs
+++ b/crates/cicadaweir-core/src/steer/options.rs
@@ -37,6 +37,8 @@
     /// The same for a target in an availability zone that is silent as a
     /// whole.
     pub zone_certain_strikes: u32,
+    /// The same for a target whose entry has left the store.
+    pub departed_strikes: u32,
     /// How recent the view of the store must be for a reset that rests on it.
     pub fresh_view: Duration,
     /// The most packets that may wait for a decision.
@@ -75,6 +77,7 @@
             zone_targets: 2,
             certain_strikes: 3,
             zone_certain_strikes: 2,
+            departed_strikes: 2,
             fresh_view: Duration::from_millis(4_000),
             most_waiting: 1_024,
             view_patience: Duration::from_millis(1_200),
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -70,6 +70,7 @@
     suspicion: Vec<Suspicion>,
     zone_answers: Vec<Option<Instant>>,
     zone_trials: Vec<Option<Instant>>,
+    complete: bool,
     viewed_at: Option<Instant>,
     observations: Vec<Observation>,
     counters: Counters,
@@ -91,6 +92,7 @@
             suspicion: Vec::new(),
             zone_answers: Vec::new(),
             zone_trials: Vec::new(),
+            complete: false,
             viewed_at: None,
             observations: Vec::new(),
             counters: Counters::default(),
@@ -140,13 +142,20 @@
         self.flows.len()
     }
 
-    /// Returns whether routes are known, so that packets can be served.
+    /// Returns whether routes and all targets are known, so that the platform
+    /// is to send packets.
     pub const fn is_ready(&self) -> bool {
-        self.directory.version().is_some()
+        self.complete && self.directory.version().is_some()
+    }
+
+    /// Notes that all of the store has been read, from some state of it.
+    pub fn completed(&mut self) {
+        self.complete = true;
     }
 
     /// Notes that the view of the store was complete at some moment.
     pub fn viewed(&mut self, at: Instant) {
+        self.complete = true;
         self.viewed_at = Some(self.viewed_at.map_or(at, |known| known.max(at)));
     }
 
@@ -200,7 +209,7 @@
     /// Returns a packet that has waited and can be decided now: `Ok` is to be
     /// handed to [`Steering::waited`], `Err` has waited too long.
     pub fn next_waiter(&mut self, now: Instant) -> Option<Result<Waiter, Waiter>> {
-        if !self.is_ready() {
+        if !self.complete {
             let patience = self.options.view_patience;
             return self.waiting.pop_expired(now, patience).map(Err);
         }
@@ -232,8 +241,8 @@
     }
 
     fn decide(&mut self, now: Instant, segment: &Segment, may_wait: bool) -> Verdict {
-        if !self.is_ready() {
-            return Verdict::Wait(WaitReason::View);
+        if !self.complete && may_wait {
+            return self.decide_early(now, segment);
         }
         match segment.kind {
             PacketKind::Opening => self.opening(now, segment, may_wait),
@@ -264,6 +273,32 @@
             });
     }
 
+    /// Decides before all of the store has been read: where a target is known,
+    /// the packet goes there, everything else waits.
+    ///
+    /// Load pattern: hundreds of entry VMs start at once and share the store's
+    /// link, so that reading thousands of targets takes seconds.
+    fn decide_early(&mut self, now: Instant, segment: &Segment) -> Verdict {
+        let known = match segment.kind {
+            PacketKind::Opening => {
+                let route = self.directory.route(&segment.flow.address, 0);
+                let members = route.map_or(&[][..], |(service, _)| self.directory.members(service));
+                members.iter().any(|&key| {
+                    let entry = self.directory.target(key);
+                    entry.is_some_and(TargetEntry::takes_openings)
+                })
+            }
+            _ => self.directory.by_cookie(segment.cookie).is_some(),
+        };
+        if !known {
+            return Verdict::Wait(WaitReason::View);
+        }
+        match self.decide(now, segment, false) {
+            Verdict::Reset(_) | Verdict::Drop(_) => Verdict::Wait(WaitReason::View),
+            verdict => verdict,
+        }
+    }
+
     fn opening(&mut self, now: Instant, segment: &Segment, may_wait: bool) -> Verdict {
         let known = self.flows.get_mut(&segment.flow).copied();
         if let Some(flow) = known.filter(|flow| flow.phase == FlowPhase::Open) {
@@ -671,8 +706,9 @@
         let departed = matches!(entry.presence, Presence::Departed { .. });
         let repeats = progress.repeated.is_some();
         if departed && repeats && self.has_fresh_view(now) {
-            let silent = self.suspicion[flow.target.0 as usize].silent_since();
-            return silent.map(|_| ResetReason::TargetGone);
+            let proof = self.suspicion[flow.target.0 as usize].proof(now, &self.options);
+            let gone = proof >= self.options.departed_strikes;
+            return gone.then_some(ResetReason::TargetGone);
         }
         let may_repeat = flow.kind != WorkKind::AtMostOnce;
         let silent = may_repeat && self.is_certainly_silent(now, flow.target);
--- a/crates/cicadaweir-core/tests/mirror/log.rs
+++ b/crates/cicadaweir-core/tests/mirror/log.rs
@@ -41,6 +41,19 @@
     );
 }
 
+#[test]
+fn of_several_pages_the_oldest_counts() {
+    let mut log = Log::default();
+    for (has_more, as_of) in [(true, 9), (false, 6)] {
+        log.record(&Answer::Page {
+            items: vec![item("a", 1, true)],
+            has_more,
+            as_of,
+        });
+    }
+    assert_eq!(log.revision(), Some(6));
+}
+
 #[test]
 fn changes_are_told_after_the_revision_that_is_known() {
     let mut log = started();
--- a/crates/cicadaweir-core/tests/steer/suspicion.rs
+++ b/crates/cicadaweir-core/tests/steer/suspicion.rs
@@ -206,5 +206,7 @@
     assert_eq!(chosen(&vm, verdict), 2, "it may still answer");
     vm.viewed(ms(450));
     let verdict = vm.packet(ms(500), &data(key, cookie(2), 101, 1_000));
+    assert_eq!(chosen(&vm, verdict), 2, "a packet may have been lost");
+    let verdict = vm.packet(ms(900), &data(key, cookie(2), 101, 1_000));
     assert_eq!(verdict, Verdict::Reset(ResetReason::TargetGone));
 }
--- a/crates/cicadaweir-core/tests/steer/waiting.rs
+++ b/crates/cicadaweir-core/tests/steer/waiting.rs
@@ -41,6 +41,11 @@
     vm.apply(ms(50), Change::Routes(routes(1)));
     vm.apply(ms(50), Change::Target(target(3, "classes", "a")));
     vm.apply(ms(50), Change::Target(target(4, "classes", "a")));
+    assert!(
+        release(&mut vm, ms(50)).is_empty(),
+        "more targets may follow"
+    );
+    vm.completed();
     let decided = release(&mut vm, ms(50));
     assert_eq!(decided.len(), 3);
     for (packet, verdict) in decided {
@@ -49,6 +54,27 @@
     }
 }
 
+// Replays the start of hundreds of entry VMs: the store's pages come over seconds.
+#[test]
+fn what_the_first_pages_name_is_served_before_the_last() {
+    let mut vm = Steering::new(Options::default(), "a", 1);
+    vm.apply(ms(0), Change::Routes(routes(1)));
+    let first = opening(flow(1, BOARD), 0);
+    assert_eq!(
+        vm.packet(ms(0), &first),
+        Verdict::Wait(WaitReason::View),
+        "no target yet"
+    );
+    vm.apply(ms(1), Change::Target(target(3, "classes", "a")));
+    let verdict = vm.packet(ms(1), &opening(flow(2, BOARD), 0));
+    assert_eq!(chosen(&vm, verdict), 3);
+    let later = data(flow(3, BOARD), cookie(9), 101, 1_000);
+    assert_eq!(vm.packet(ms(2), &later), Verdict::Wait(WaitReason::View));
+    let verdict = vm.packet(ms(2), &data(flow(4, BOARD), cookie(3), 101, 1_000));
+    assert_eq!(chosen(&vm, verdict), 3);
+    assert!(!vm.is_ready());
+}
+
 #[test]
 fn nothing_waits_longer_than_its_caller() {
     let mut vm = Steering::new(Options::default(), "a", 1);
--- a/crates/cicadaweir-proto/src/feed.rs
+++ b/crates/cicadaweir-proto/src/feed.rs
@@ -4,7 +4,7 @@
 //! | call | answer |
 //! |---|---|
 //! | `GET /feed/all` | all keys |
-//! | `GET /feed/after?revision=R&wait_ms=W&from=IP:PORT` | changes after R, or none after W ms |
+//! | `GET /feed/after?revision=R&wait_ms=W&from=IP:PORT&zone=NAME` | changes after R, or none after W ms |
 //!
 //! 410 stands for changes that are no longer kept, 503 for an entry VM that
 //! knows nothing recent itself.
--- a/crates/cicadaweird/src/steered/client.rs
+++ b/crates/cicadaweird/src/steered/client.rs
@@ -10,9 +10,13 @@
 /// How long a connection may take: several times the store's usual answer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// How long a read may take: a store that is fifty times slower than its
-/// usual 4 ms is still served from.
-const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long the answer to a read may take to begin: a store that is fifty
+/// times slower than its usual 4 ms is still served from.
+const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// How long the body of a read may take: hundreds of entry VMs that start at
+/// once share the store's link, and a megabyte takes a second at 10 Mbit/s.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// How long a watch may take beyond the wait that it asks for.
 const WATCH_SLACK: Duration = Duration::from_millis(500);
@@ -66,14 +70,17 @@
 pub struct FeedClient {
     agent: Agent,
     own: SocketAddr,
+    zone: String,
 }
 
 impl FeedClient {
-    /// Makes a client for the entry VM whose own feed is at `own`.
-    pub fn new(own: SocketAddr) -> Self {
+    /// Makes a client for the entry VM in the named availability zone whose own
+    /// feed is at `own`.
+    pub fn new(own: SocketAddr, zone: &str) -> Self {
         Self {
             agent: agent(),
             own,
+            zone: zone.to_owned(),
         }
     }
 
@@ -108,9 +115,10 @@
         revision: u64,
         wait: Duration,
     ) -> Result<FeedAnswer, StoreError> {
-        let (wait_ms, own) = (wait.as_millis(), self.own);
-        let url =
-            format!("http://{peer}{AFTER_PATH}?revision={revision}&wait_ms={wait_ms}&from={own}");
+        let (wait_ms, own, zone) = (wait.as_millis(), self.own, &self.zone);
+        let url = format!(
+            "http://{peer}{AFTER_PATH}?revision={revision}&wait_ms={wait_ms}&from={own}&zone={zone}"
+        );
         let body = match self.feed(&url, wait + WATCH_SLACK) {
             Err(StoreError::Status(410)) => {
                 return Ok(FeedAnswer {
@@ -208,6 +216,8 @@
     let config = Agent::config_builder()
         .http_status_as_error(false)
         .timeout_connect(Some(CONNECT_TIMEOUT))
+        .timeout_send_request(Some(CONNECT_TIMEOUT))
+        .timeout_recv_body(Some(BODY_TIMEOUT))
         .max_idle_connections(1)
         .build();
     config.into()
@@ -215,7 +225,7 @@
 
 fn get(agent: &Agent, url: &str, timeout: Duration) -> Result<(u16, Vec<u8>), StoreError> {
     let req = agent.get(url).config();
-    let req = req.timeout_global(Some(timeout)).build();
+    let req = req.timeout_recv_response(Some(timeout)).build();
     let mut response = req.call().map_err(unavailable)?;
     let status = response.status().as_u16();
     let reader = response.body_mut().with_config().limit(MOST_BYTES);
--- a/crates/cicadaweird/src/steered/engine.rs
+++ b/crates/cicadaweird/src/steered/engine.rs
@@ -195,6 +195,9 @@
             let applied = self.steering.apply(self.now, change);
             self.log_applied(applied, news.revision);
         }
+        if news.complete {
+            self.steering.completed();
+        }
         if news.current {
             let age = time::Duration::from_micros(news.age.as_micros() as u64);
             self.steering.viewed(self.now - age);
--- a/crates/cicadaweird/src/steered/feed.rs
+++ b/crates/cicadaweird/src/steered/feed.rs
@@ -24,8 +24,9 @@
 /// so that the work of one entry VM stays bounded in any fleet.
 const MOST_FOLLOWERS: usize = 32;
 
-/// How long a follower that no longer asks counts as one.
-const FOLLOWER_MEMORY: Duration = Duration::from_secs(5);
+/// How long a follower that no longer asks counts as one, and is named to
+/// others: a watch and its time-out.
+const FOLLOWER_MEMORY: Duration = Duration::from_millis(1_600);
 
 /// A body above this size is written on a thread of its own: a peer that
 /// doesn't read must not hold up the others.
@@ -44,31 +45,43 @@
     log: Log,
     heard: Option<Instant>,
     pending: Vec<Pending>,
-    followers: IndexMap<SocketAddr, Instant>,
+    followers: IndexMap<SocketAddr, Follower>,
     next_instead: usize,
 }
 
+/// Another entry VM that asks.
+struct Follower {
+    zone: String,
+    seen: Instant,
+}
+
 /// The feed of one entry VM.
+///
+/// Load pattern: thousands of targets register while hundreds of entry VMs
+/// follow. Bytes between zones are dear, so one entry VM of each other zone
+/// is told directly and tells the others of its zone.
 pub struct Feed {
     state: Mutex<State>,
     server: Server,
+    zone: String,
 }
 
 /// A reply with its status code.
 type Reply = (u16, Vec<u8>);
 
 impl Feed {
-    /// Starts the feed on an address.
+    /// Starts the feed of an entry VM in the named availability zone.
     ///
     /// # Errors
     ///
     /// The operating system's error, with the address in it.
-    pub fn start(address: SocketAddr) -> io::Result<Arc<Self>> {
+    pub fn start(address: SocketAddr, zone: &str) -> io::Result<Arc<Self>> {
         let server =
             Server::http(address).map_err(|err| io::Error::other(format!("{address}: {err}")))?;
         let feed = Arc::new(Self {
             state: Mutex::default(),
             server,
+            zone: zone.to_owned(),
         });
         let shared = Arc::clone(&feed);
         thread::spawn(move || shared.serve());
@@ -132,7 +145,9 @@
                 let wait = argument("wait_ms").and_then(|text| text.parse().ok());
                 let wait = Duration::from_millis(wait.unwrap_or(0)).min(LONGEST_WAIT);
                 let from = argument("from").and_then(|text| text.parse().ok());
-                if let Some(instead) = from.and_then(|from| state.follow(from, now)) {
+                let zone = argument("zone").unwrap_or_default();
+                let instead = from.and_then(|from| state.follow(from, zone, &self.zone, now));
+                if let Some(instead) = instead {
                     drop(state);
                     return respond(req, redirect(instead));
                 }
@@ -194,17 +209,37 @@
         }
     }
 
-    /// Counts a follower; returns whom it is to ask instead if there are
-    /// enough.
-    fn follow(&mut self, from: SocketAddr, now: Instant) -> Option<SocketAddr> {
+    /// Counts a follower; returns whom it is to ask instead, if anyone: the
+    /// follower that its zone already has, or any if there are enough.
+    fn follow(
+        &mut self,
+        from: SocketAddr,
+        zone: &str,
+        own_zone: &str,
+        now: Instant,
+    ) -> Option<SocketAddr> {
         self.followers
-            .retain(|_, seen| now.duration_since(*seen) < FOLLOWER_MEMORY);
-        if self.followers.len() < MOST_FOLLOWERS || self.followers.contains_key(&from) {
-            self.followers.insert(from, now);
-            return None;
+            .retain(|_, follower| now.duration_since(follower.seen) < FOLLOWER_MEMORY);
+        let mut others = self.followers.iter().filter(|(addr, _)| **addr != from);
+        let same = others
+            .find(|(_, follower)| follower.zone == zone)
+            .map(|f| *f.0);
+        let known = self.followers.contains_key(&from);
+        let instead = if zone != own_zone && same.is_some() && !known {
+            same
+        } else if known || self.followers.len() < MOST_FOLLOWERS {
+            None
+        } else {
+            let same = self.followers.iter().filter(|(_, f)| f.zone == zone);
+            let same: Vec<SocketAddr> = same.map(|(addr, _)| *addr).collect();
+            self.next_instead = self.next_instead.wrapping_add(1);
+            same.get(self.next_instead % same.len().max(1)).copied()
+        };
+        if instead.is_none() {
+            let zone = zone.to_owned();
+            self.followers.insert(from, Follower { zone, seen: now });
         }
-        self.next_instead = (self.next_instead + 1) % self.followers.len();
-        self.followers.get_index(self.next_instead).map(|f| *f.0)
+        instead
     }
 }
 
--- a/crates/cicadaweird/src/steered/follow.rs
+++ b/crates/cicadaweird/src/steered/follow.rs
@@ -15,28 +15,34 @@
 use cicadaweir_platform::records::{self, ROUTES_KEY, TARGETS_PREFIX};
 use log::{debug, info, warn};
 
-use super::{Feed, FeedClient, Inbox, Input, Meters, StoreClient, StoreError};
+use super::{Feed, FeedAnswer, FeedClient, Inbox, Input, Meters, StoreClient, StoreError};
 
 /// Everything in the store is followed by one watch.
 const PREFIX: &str = "";
 
-/// How old the view of another entry VM may be: its own watch, and the one
-/// of whom it follows.
-const OLDEST_PEER_VIEW: Duration = Duration::from_millis(2_500);
+/// How old the view of another entry VM may be: its own watch, and those of
+/// whom it follows. Above it two entry VMs may be following one another.
+const OLDEST_PEER_VIEW: Duration = Duration::from_millis(3_200);
+
+/// How often an entry VM is sent on before it gives up: a seed, the first
+/// follower of its zone, and two more for zones of over a thousand.
+const MOST_HOPS: u32 = 4;
 
 /// The time between two watches of the store: changes often come in series,
 /// and each watch is a call.
 const WATCHES_APART: Duration = Duration::from_millis(150);
 
 /// The time between two watches of another entry VM.
-const PEER_WATCHES_APART: Duration = Duration::from_millis(20);
+const PEER_WATCHES_APART: Duration = Duration::from_millis(100);
 
 /// What the store has shown.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct News {
     /// What has changed, in order.
     pub changes: Vec<Change>,
-    /// Whether the copy is complete up to the store's state of a moment ago.
+    /// Whether all keys are known, from some state of the store.
+    pub complete: bool,
+    /// Whether that state is the one of a moment ago.
     pub current: bool,
     /// How long ago the store was heard.
     pub age: Duration,
@@ -178,25 +184,13 @@
 
     fn ask_peer(&self, peer: &mut SocketAddr, call: &Call) -> Result<Heard, StoreError> {
         let answer = match call {
-            Call::Range { .. } => self.peers.all(*peer),
+            Call::Range { .. } => self.peers.all(*peer)?,
             Call::Watch { after, wait } => {
                 let wait = Duration::from_micros(wait.as_micros());
-                let answer = self.peers.after(*peer, *after, wait);
-                match answer.as_ref().map(|answer| answer.instead) {
-                    Ok(Some(instead)) if instead != self.own => {
-                        debug!(peer:display, instead:display; "sent to another entry VM");
-                        *peer = instead;
-                        self.peers.after(*peer, *after, wait)
-                    }
-                    _ => answer,
-                }
+                self.watch_peer(peer, *after, wait)?
             }
             Call::Pause(_) => return Err(StoreError::Unavailable("nothing asked".to_owned())),
         };
-        let answer = answer?;
-        if answer.instead.is_some() {
-            return Err(StoreError::Unavailable("sent on twice".to_owned()));
-        }
         if answer.age > OLDEST_PEER_VIEW {
             let age_ms = answer.age.as_millis();
             return Err(StoreError::Malformed(format!(
@@ -210,6 +204,27 @@
                 .unwrap_or_else(Instant::now),
         })
     }
+
+    /// Watches a peer, or whom it names instead.
+    fn watch_peer(
+        &self,
+        peer: &mut SocketAddr,
+        after: u64,
+        wait: Duration,
+    ) -> Result<FeedAnswer, StoreError> {
+        for _ in 0..MOST_HOPS {
+            let answer = self.peers.after(*peer, after, wait)?;
+            match answer.instead {
+                None => return Ok(answer),
+                Some(instead) if instead == self.own => break,
+                Some(instead) => {
+                    debug!(peer:display, instead:display; "sent to another entry VM");
+                    *peer = instead;
+                }
+            }
+        }
+        Err(StoreError::Unavailable("sent on too often".to_owned()))
+    }
 }
 
 /// Which sources failed, for one line a loss and a return.
@@ -239,12 +254,14 @@
 fn news(updates: &mut Vec<Update>, age: Duration, revision: u64) -> News {
     let mut news = News {
         changes: Vec::new(),
+        complete: false,
         current: false,
         age,
         revision,
     };
     for update in updates.drain(..) {
         match update {
+            Update::Complete => news.complete = true,
             Update::Current => news.current = true,
             Update::Written { key, value, .. } => news.changes.extend(written(&key, &value)),
             Update::Removed { key, .. } => {
--- a/crates/cicadaweird/src/steered/run.rs
+++ b/crates/cicadaweird/src/steered/run.rs
@@ -136,8 +136,8 @@
         }
         let follower = Follower {
             store: StoreClient::new(engine.settings().store.address),
-            peers: FeedClient::new(listen.peer),
-            feed: Feed::start(listen.peer)?,
+            peers: FeedClient::new(listen.peer, &engine.settings().member.zone),
+            feed: Feed::start(listen.peer, &engine.settings().member.zone)?,
             seeds: engine.settings().seeds.clone(),
             own: listen.peer,
             seed: engine.seed(),
