perf: keep bulk reads and storms of changes off the links of entry VMs

Cause: after a restart of all, an entry VM whose revision lay before its peer's history read all keys from that peer: megabytes over links of 10 Mbit/s, beside packets. Now one watch of the store fills the gap, all keys come from the store, a relay tells eight others, and bodies above 1 KB are compressed.

--- a/crates/cicadaweir-core/src/mirror/sources.rs
+++ b/crates/cicadaweir-core/src/mirror/sources.rs
@@ -74,6 +74,7 @@
     store: Rest,
     patience: Duration,
     alone_since: Option<Instant>,
+    catches_up: bool,
 }
 
 impl Sources {
@@ -89,14 +90,25 @@
             store: Rest::default(),
             patience: PATIENCE + Duration::from_micros(more),
             alone_since: None,
+            catches_up: false,
         }
     }
 
-    /// Returns whom to ask. `cheap` tells that the call costs the store next
-    /// to nothing.
-    pub fn choose(&mut self, now: Instant, cheap: bool) -> Choice {
+    /// Notes that a peer no longer keeps what is missing here. Returns whether
+    /// the store is asked for it, which costs one call; otherwise everything
+    /// has to be read again.
+    pub fn catch_up(&mut self, now: Instant) -> bool {
+        self.catches_up = self.store.is_over(now);
+        self.catches_up
+    }
+
+    /// Returns whom to ask. `bulk` tells that all keys are wanted: they come
+    /// from the store if it can be had, since the links of entry VMs are
+    /// small.
+    pub fn choose(&mut self, now: Instant, bulk: bool) -> Choice {
         let store = self.store.is_over(now);
-        if (self.reads_store || cheap) && store {
+        let from_store = self.reads_store || bulk || self.catches_up;
+        if from_store && store {
             return Choice::Ask(Source::Store);
         }
         if let Some(peer) = self.peer(now) {
@@ -118,6 +130,9 @@
 
     /// Notes what came of a call.
     pub fn report(&mut self, now: Instant, source: Source, served: bool) {
+        if source == Source::Store {
+            self.catches_up = false;
+        }
         match (source, served) {
             (Source::Store, true) => self.store = Rest::default(),
             (Source::Store, false) if self.reads_store => {
--- a/crates/cicadaweir-core/tests/mirror/sources.rs
+++ b/crates/cicadaweir-core/tests/mirror/sources.rs
@@ -30,6 +30,21 @@
     assert_eq!(sources.choose(ms(0), false), Choice::Ask(Source::Peer(2)));
 }
 
+// Found on a sweep of 300 entry VMs: after a restart of all, each read all keys from
+// peers whose history began later than its own, and filled their links.
+#[test]
+fn what_a_peer_no_longer_keeps_comes_from_the_store() {
+    let mut sources = Sources::new(false, 1, 0);
+    sources.report(ms(0), Source::Peer(0), true);
+    assert!(sources.catch_up(ms(0)));
+    assert_eq!(sources.choose(ms(0), false), Choice::Ask(Source::Store));
+    sources.report(ms(1), Source::Store, true);
+    assert_eq!(sources.choose(ms(1), false), Choice::Ask(Source::Peer(0)));
+    sources.report(ms(2), Source::Store, false);
+    assert!(!sources.catch_up(ms(3)), "the store can't be had");
+    assert_eq!(sources.choose(ms(3), true), Choice::Ask(Source::Peer(0)));
+}
+
 // Replays a store that goes down under a fleet: the seeds say that they have
 // lost it, all at the same moment.
 #[test]
--- a/crates/cicadaweird/src/steered/feed.rs
+++ b/crates/cicadaweird/src/steered/feed.rs
@@ -1,7 +1,7 @@
 //! Telling other entry VMs what this one knows of the store.
 
 use std::{
-    io,
+    io::{self, Write},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread,
@@ -10,9 +10,10 @@
 
 use cicadaweir_core::mirror::{Answer, Log, Unknown};
 use cicadaweir_proto::feed::{AFTER_PATH, ALL_PATH, FeedBody};
+use flate2::{Compression, write::GzEncoder};
 use indexmap::IndexMap;
 use log::debug;
-use tiny_http::{Request, Response, Server};
+use tiny_http::{Header, Request, Response, Server};
 
 /// How often waiting calls are looked at without news.
 const SWEEP: Duration = Duration::from_millis(250);
@@ -20,9 +21,16 @@
 /// The longest wait of a call.
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
 
-/// How many others are told directly; further ones are sent to one of these,
-/// so that the work of one entry VM stays bounded in any fleet.
-const MOST_FOLLOWERS: usize = 32;
+/// How many others are told directly; further ones are sent to one of these.
+/// Thousands of changes at once have to pass a link of 10 Mbit/s as often
+/// within seconds, and packets beside them.
+const MOST_FOLLOWERS: usize = 8;
+
+/// How many others read all keys at the same moment, for the same reason.
+const MOST_BULK: usize = 2;
+
+/// A body above this size is compressed: below it a packet is sent anyway.
+const PLAIN_BYTES: usize = 1_024;
 
 /// How long a follower that no longer asks counts as one, and is named to
 /// others: a watch and its time-out.
@@ -47,6 +55,7 @@
     pending: Vec<Pending>,
     followers: IndexMap<SocketAddr, Follower>,
     next_instead: usize,
+    bulk: Arc<()>,
 }
 
 /// Another entry VM that asks.
@@ -135,9 +144,18 @@
         let mut state = self.lock();
         match path {
             ALL_PATH => {
-                let reply = state.all(now);
+                // Each bulk answer under way holds a copy.
+                let under_way = Arc::clone(&state.bulk);
+                let reply = if Arc::strong_count(&under_way) > MOST_BULK + 1 {
+                    (503, Vec::new())
+                } else {
+                    state.all(now)
+                };
                 drop(state);
-                respond(req, reply);
+                thread::spawn(move || {
+                    respond(req, reply);
+                    drop(under_way);
+                });
             }
             AFTER_PATH => {
                 let argument = |name| argument(arguments, name);
@@ -263,16 +281,39 @@
 }
 
 fn respond(req: Request, (code, body): Reply) {
-    let large = body.len() > INLINE_BYTES;
-    let send = move || {
-        let response = Response::from_data(body).with_status_code(code);
-        if let Err(err) = req.respond(response) {
-            debug!(err:display; "an answer of the feed could not be sent");
-        }
-    };
-    if large {
-        thread::spawn(send);
+    if body.len() <= INLINE_BYTES {
+        send(req, code, body);
     } else {
-        send();
+        thread::spawn(move || send(req, code, body));
+    }
+}
+
+fn send(req: Request, code: u16, body: Vec<u8>) {
+    let response = match compress(&body) {
+        Some(compressed) => Response::from_data(compressed).with_header(gzip_header()),
+        None => Response::from_data(body),
+    };
+    if let Err(err) = req.respond(response.with_status_code(code)) {
+        debug!(err:display; "an answer of the feed could not be sent");
     }
 }
+
+/// Returns the compressed body, if it is worth it.
+fn compress(body: &[u8]) -> Option<Vec<u8>> {
+    if body.len() <= PLAIN_BYTES {
+        return None;
+    }
+    let mut encoder = GzEncoder::new(Vec::new(), Compression::fast());
+    let written = encoder.write_all(body).and_then(|()| encoder.finish());
+    match written {
+        Ok(compressed) => Some(compressed),
+        Err(err) => {
+            debug!(err:display; "a body could not be compressed, it is sent as it is");
+            None
+        }
+    }
+}
+
+fn gzip_header() -> Header {
+    Header::from_bytes("Content-Encoding", "gzip").expect("a constant header is valid")
+}
--- a/crates/cicadaweird/src/steered/follow.rs
+++ b/crates/cicadaweird/src/steered/follow.rs
@@ -33,7 +33,7 @@
 const WATCHES_APART: Duration = Duration::from_millis(150);
 
 /// The time between two watches of another entry VM.
-const PEER_WATCHES_APART: Duration = Duration::from_millis(100);
+const PEER_WATCHES_APART: Duration = Duration::from_millis(50);
 
 /// What the store has shown.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -101,8 +101,8 @@
                 mirror.paused();
                 continue;
             }
-            let cheap = matches!(call, Call::Range { stale: true, .. });
-            let source = match sources.choose(now(), cheap) {
+            let bulk = matches!(call, Call::Range { .. });
+            let source = match sources.choose(now(), bulk) {
                 Choice::Ask(source) => source,
                 Choice::Wait(span) => {
                     thread::sleep(Duration::from_micros(span.as_micros()));
@@ -137,6 +137,10 @@
                     continue;
                 }
             };
+            let from_peer = matches!(source, Source::Peer(_));
+            if from_peer && heard.answer == Answer::Compacted && sources.catch_up(now()) {
+                continue;
+            }
             if heard.answer == Answer::Compacted {
                 info!(source:debug, revision = mirror.revision(); "history was dropped, reading all keys");
             }
