--- a/crates/cicadaweir-standins/src/lib.rs
+++ b/crates/cicadaweir-standins/src/lib.rs
@@ -6,6 +6,7 @@
 //! |---|---|
 //! | [`platform`] | the key-value service and the membership list, over HTTP |
 //! | [`store`] | the users' platform's key-value store, with its troubles |
+//! | [`steered`] | a site of daemon processes around such a store |
 //! | [`fabric`] | the network that sprays packets over the entry VMs |
 //! | [`target`] | a target with slots, connections and a load endpoint |
 //! | [`caller`] | many callers, each with one flow |
@@ -19,5 +20,6 @@
 pub mod platform;
 pub mod segment;
 pub mod site;
+pub mod steered;
 pub mod store;
 pub mod target;
--- a/crates/cicadaweird/tests/steered/site.rs
+++ b/crates/cicadaweir-standins/src/steered.rs
@@ -1,4 +1,5 @@
-//! A site on loopback: a store, daemons, targets and one caller.
+//! A site on loopback for daemons whose packets name their target: a store,
+//! daemon processes, targets and one caller.
 
 use std::{
     fs,
@@ -6,15 +7,17 @@
     net::{Ipv4Addr, SocketAddr, TcpStream, UdpSocket},
     path::PathBuf,
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     thread,
     time::{Duration, Instant},
 };
 
 use cicadaweir_core::steer::{Cookie, Identity};
 use cicadaweir_platform::{packet, ready};
-use cicadaweir_standins::store::StoreServer;
 use serde_json::json;
 
+use crate::store::StoreServer;
+
 /// How long something may take that has to happen at all.
 const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -24,12 +27,23 @@
 /// The port of the route.
 pub const BOARD: u16 = 8_443;
 
+/// The flag of openings.
 pub const SYN: u8 = 2;
+
+/// The flag of acknowledgements.
 pub const ACK: u8 = 64;
 
+/// The flag of resets.
+pub const RST: u8 = 16;
+
+/// Daemons started so far, so that each has files of its own.
+static STARTS: AtomicU32 = AtomicU32::new(0);
+
 /// A daemon process; killed at the end.
 pub struct Daemon {
+    /// The process.
     pub child: Child,
+    /// The last number of its address.
     pub number: u8,
     settings: PathBuf,
     output: PathBuf,
@@ -48,14 +62,23 @@
 /// Everything around the daemons. Each test has a network of its own.
 pub struct Site {
     net: u8,
+    program: PathBuf,
+    /// The store.
     pub store: StoreServer,
+    /// The caller's socket.
     pub caller: UdpSocket,
+    /// The targets' sockets, from target 1 on.
     pub targets: Vec<UdpSocket>,
 }
 
 impl Site {
-    /// Starts a store with one configuration and `targets` targets.
-    pub fn start(net: u8, targets: u8) -> Self {
+    /// Starts a store with one configuration and `targets` targets; daemons
+    /// will run `program`.
+    ///
+    /// # Panics
+    ///
+    /// If an address of the network is taken.
+    pub fn start(program: impl Into<PathBuf>, net: u8, targets: u8) -> Self {
         let at = |host, port| SocketAddr::from((Ipv4Addr::new(127, 90, net, host), port));
         let store = StoreServer::start(at(250, 8_169)).expect("the store starts");
         let bind = |addr: SocketAddr| {
@@ -67,6 +90,7 @@
         };
         let site = Self {
             net,
+            program: program.into(),
             store,
             caller: bind(at(200, PACKETS)),
             targets: (1..=targets).map(|n| bind(at(100 + n, 8_602))).collect(),
@@ -78,6 +102,7 @@
         site
     }
 
+    /// Returns an address of the site's network.
     pub fn at(&self, host: u8, port: u16) -> SocketAddr {
         SocketAddr::from((Ipv4Addr::new(127, 90, self.net, host), port))
     }
@@ -106,24 +131,30 @@
     }
 
     /// Starts daemon `number`, which listens on the host of that number.
+    ///
+    /// # Panics
+    ///
+    /// If that fails.
     pub fn daemon(&self, number: u8, seeds: &[u8]) -> Daemon {
         self.daemon_with_store(number, seeds, self.store.addr())
     }
 
     /// The same with another address for the store.
+    ///
+    /// # Panics
+    ///
+    /// If that fails.
     pub fn daemon_with_store(&self, number: u8, seeds: &[u8], store: SocketAddr) -> Daemon {
+        let start = STARTS.fetch_add(1, Ordering::Relaxed);
         let file = |kind: &str| {
-            let name = format!(
-                "cicadaweird-{}-{}-{number}.{kind}",
-                std::process::id(),
-                self.net
-            );
+            let (process, net) = (std::process::id(), self.net);
+            let name = format!("cicadaweird-{process}-{net}-{number}-{start}.{kind}");
             std::env::temp_dir().join(name)
         };
         let (settings, output) = (file("toml"), file("log"));
         fs::write(&settings, self.settings(number, seeds, store)).expect("a settings file");
         let out = fs::File::create(&output).expect("a file for the output");
-        let child = Command::new(env!("CARGO_BIN_EXE_cicadaweird"))
+        let child = Command::new(&self.program)
             .arg("--settings")
             .arg(&settings)
             .stdout(Stdio::from(out))
@@ -155,6 +186,10 @@
     }
 
     /// Waits until a daemon takes packets.
+    ///
+    /// # Panics
+    ///
+    /// If that fails.
     pub fn wait_ready(&self, daemon: &Daemon) {
         wait_until("the daemon is ready", || self.is_ready(daemon) == Some(200));
     }
@@ -173,6 +208,10 @@
     }
 
     /// Waits until a daemon has a configuration in force.
+    ///
+    /// # Panics
+    ///
+    /// If that fails.
     pub fn wait_version(&self, daemon: &Daemon, version: f64) {
         wait_until(&format!("version {version} is in force"), || {
             self.metric(daemon, "cicadaweir_config_version") == Some(version)
@@ -180,6 +219,10 @@
     }
 
     /// Sends a packet of the caller to a daemon.
+    ///
+    /// # Panics
+    ///
+    /// If that fails.
     pub fn send(&self, daemon: &Daemon, bytes: &[u8]) {
         let to = self.at(daemon.number, PACKETS);
         self.caller.send_to(bytes, to).expect("loopback takes it");
@@ -195,6 +238,10 @@
     }
 
     /// Sends a packet until a target gets it.
+    ///
+    /// # Panics
+    ///
+    /// If that fails.
     pub fn deliver(&self, daemon: &Daemon, bytes: &[u8]) -> (u8, Vec<u8>) {
         let start = Instant::now();
         while start.elapsed() < PATIENCE {
@@ -207,6 +254,10 @@
     }
 
     /// Sends a packet until the caller gets an answer.
+    ///
+    /// # Panics
+    ///
+    /// If that fails.
     pub fn answer(&self, daemon: &Daemon, bytes: &[u8]) -> Vec<u8> {
         let mut buf = [0; 2_048];
         let start = Instant::now();
@@ -222,6 +273,10 @@
 
 impl Daemon {
     /// Sends a signal by name.
+    ///
+    /// # Panics
+    ///
+    /// If that fails.
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill")
             .args([format!("-{name}"), self.child.id().to_string()])
@@ -230,6 +285,10 @@
     }
 
     /// Replaces a word in the settings file.
+    ///
+    /// # Panics
+    ///
+    /// If that fails.
     pub fn change_settings(&self, from: &str, to: &str) {
         let text = fs::read_to_string(&self.settings).expect("a settings file");
         assert!(text.contains(from), "{from} is not in the settings");
@@ -237,6 +296,10 @@
     }
 
     /// Waits for a line of the output that holds all of these texts.
+    ///
+    /// # Panics
+    ///
+    /// If that fails.
     pub fn wait_line(&self, texts: &[&str]) {
         wait_until(&format!("a line with {texts:?}"), || {
             let output = fs::read_to_string(&self.output).unwrap_or_default();
@@ -256,28 +319,54 @@
     Identity(u64::from(n))
 }
 
-/// A caller's packet for a port of the route's address.
-pub fn packet(caller: u16, port: u16, flags: u8, cookie: u32, data: &[u8]) -> Vec<u8> {
+/// What a caller's packet says beside its addresses.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Head {
+    /// The flags.
+    pub flags: u8,
+    /// The sequence number.
+    pub sequence: u32,
+    /// The acknowledged number, or how often an opening was sent before.
+    pub ack: u32,
+    /// The cookie.
+    pub cookie: u32,
+}
+
+/// A packet of the caller of network `net` for a port of the route's address.
+pub fn packet_with(net: u8, caller: u16, port: u16, head: Head, data: &[u8]) -> Vec<u8> {
     let mut bytes = Vec::new();
     bytes.extend_from_slice(&port.to_be_bytes());
-    bytes.extend_from_slice(&[127, 90, 0, 200]);
+    bytes.extend_from_slice(&[127, 90, net, 200]);
     bytes.extend_from_slice(&[198, 18, 0, 1]);
     bytes.extend_from_slice(&caller.to_be_bytes());
-    bytes.extend_from_slice(&100u32.to_be_bytes());
-    bytes.extend_from_slice(&0u32.to_be_bytes());
-    bytes.extend_from_slice(&[flags, 0]);
+    bytes.extend_from_slice(&head.sequence.to_be_bytes());
+    bytes.extend_from_slice(&head.ack.to_be_bytes());
+    bytes.extend_from_slice(&[head.flags, 0]);
     bytes.extend_from_slice(&(data.len() as u16).to_be_bytes());
     bytes.extend_from_slice(&7u32.to_be_bytes());
-    bytes.extend_from_slice(&cookie.to_be_bytes());
+    bytes.extend_from_slice(&head.cookie.to_be_bytes());
     bytes.extend_from_slice(data);
     bytes
 }
 
-/// The same from the caller of a site, so that answers come back to it.
+/// A caller's packet to which nobody can answer.
+pub fn packet(caller: u16, port: u16, flags: u8, cookie: u32, data: &[u8]) -> Vec<u8> {
+    let head = Head {
+        flags,
+        sequence: 100,
+        cookie,
+        ..Head::default()
+    };
+    packet_with(0, caller, port, head, data)
+}
+
+/// A packet of a site's own caller, so that answers come back to it.
 pub fn packet_of(site: &Site, caller: u16, port: u16, flags: u8) -> Vec<u8> {
-    let mut bytes = packet(caller, port, flags, 0, &[]);
-    bytes[4] = site.net;
-    bytes
+    let head = Head {
+        flags,
+        ..Head::default()
+    };
+    packet_with(site.net, caller, port, head, &[])
 }
 
 /// The cookie of a target.
@@ -286,6 +375,10 @@
 }
 
 /// Waits for something that has to happen.
+///
+/// # Panics
+///
+/// If that fails.
 pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
     let start = Instant::now();
     while !holds() {
--- a/crates/cicadaweird/tests/steered/feed.rs
+++ b/crates/cicadaweird/tests/steered/feed.rs
@@ -1,10 +1,11 @@
 //! Daemons that learn of the store from others.
 
-use crate::site::{BOARD, SYN, Site, packet};
+use crate::PROGRAM;
+use cicadaweir_standins::steered::{BOARD, SYN, Site, packet};
 
 #[test]
 fn a_daemon_that_cannot_reach_the_store_starts_and_follows_through_a_seed() {
-    let site = Site::start(21, 2);
+    let site = Site::start(PROGRAM, 21, 2);
     let seed = site.daemon(1, &[1]);
     site.wait_ready(&seed);
     let nobody = site.at(249, 1);
@@ -21,7 +22,7 @@
 
 #[test]
 fn a_follower_goes_to_the_store_when_its_seeds_are_gone() {
-    let site = Site::start(22, 1);
+    let site = Site::start(PROGRAM, 22, 1);
     let seed = site.daemon(1, &[1]);
     site.wait_ready(&seed);
     let follower = site.daemon(2, &[1]);
@@ -39,7 +40,7 @@
 
 #[test]
 fn a_seed_that_stands_still_does_not_hold_its_followers_up() {
-    let site = Site::start(23, 1);
+    let site = Site::start(PROGRAM, 23, 1);
     let seed = site.daemon(1, &[1]);
     site.wait_ready(&seed);
     let follower = site.daemon(2, &[1]);
@@ -57,7 +58,7 @@
 
 #[test]
 fn seeds_that_are_all_gone_and_stale_addresses_do_not_keep_a_daemon_from_starting() {
-    let site = Site::start(24, 1);
+    let site = Site::start(PROGRAM, 24, 1);
     let daemon = site.daemon(3, &[77, 78]);
     site.wait_ready(&daemon);
     site.put_config(9, &[BOARD, 81]);
--- a/crates/cicadaweird/tests/steered/main.rs
+++ b/crates/cicadaweird/tests/steered/main.rs
@@ -3,6 +3,8 @@
 
 mod feed;
 mod packets;
-mod site;
 mod stops;
 mod store;
+
+/// The daemon.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_cicadaweird");
--- a/crates/cicadaweird/tests/steered/packets.rs
+++ b/crates/cicadaweird/tests/steered/packets.rs
@@ -2,11 +2,14 @@
 
 use cicadaweir_platform::packet::{HEAD_BYTES, TARGET_BYTES};
 
-use crate::site::{ACK, BOARD, SYN, Site, cookie_of, identity_of, packet, packet_of};
+use crate::PROGRAM;
+use cicadaweir_standins::steered::{
+    ACK, BOARD, SYN, Site, cookie_of, identity_of, packet, packet_of,
+};
 
 #[test]
 fn an_opening_and_what_follows_it_reach_one_target_through_any_daemon() {
-    let site = Site::start(1, 3);
+    let site = Site::start(PROGRAM, 1, 3);
     let daemons = [site.daemon(1, &[1]), site.daemon(2, &[1])];
     for daemon in &daemons {
         site.wait_ready(daemon);
@@ -27,7 +30,7 @@
 
 #[test]
 fn a_flow_outlives_the_daemon_that_placed_it() {
-    let site = Site::start(2, 3);
+    let site = Site::start(PROGRAM, 2, 3);
     let first = site.daemon(1, &[1]);
     site.wait_ready(&first);
     let (n, _) = site.deliver(&first, &packet(40_002, BOARD, SYN, 0, &[]));
@@ -39,7 +42,7 @@
 
 #[test]
 fn an_unknown_route_is_reset_towards_the_caller() {
-    let site = Site::start(3, 1);
+    let site = Site::start(PROGRAM, 3, 1);
     let daemon = site.daemon(1, &[1]);
     site.wait_ready(&daemon);
     let reset = site.answer(&daemon, &packet_of(&site, 40_003, 9_999, SYN));
@@ -52,7 +55,7 @@
 
 #[test]
 fn draining_targets_get_no_new_flows_and_keep_theirs() {
-    let site = Site::start(4, 2);
+    let site = Site::start(PROGRAM, 4, 2);
     let daemon = site.daemon(1, &[1]);
     site.wait_ready(&daemon);
     let (n, _) = site.deliver(&daemon, &packet(40_004, BOARD, SYN, 0, &[]));
@@ -68,12 +71,12 @@
 
 #[test]
 fn metrics_tell_decisions_and_waits() {
-    let site = Site::start(5, 2);
+    let site = Site::start(PROGRAM, 5, 2);
     let daemon = site.daemon(1, &[1]);
     site.wait_ready(&daemon);
     site.deliver(&daemon, &packet(40_005, BOARD, SYN, 0, &[]));
     let placed = "cicadaweir_packets_total{decision=\"placed\",detail=\"new\"}";
-    crate::site::wait_until("the opening is counted", || {
+    cicadaweir_standins::steered::wait_until("the opening is counted", || {
         site.metric(&daemon, placed)
             .is_some_and(|count| count >= 1.0)
     });
--- a/crates/cicadaweird/tests/steered/stops.rs
+++ b/crates/cicadaweird/tests/steered/stops.rs
@@ -1,10 +1,11 @@
 //! Stops, restarts and settings.
 
-use crate::site::{BOARD, SYN, Site, packet, wait_until};
+use crate::PROGRAM;
+use cicadaweir_standins::steered::{BOARD, SYN, Site, packet, wait_until};
 
 #[test]
 fn a_planned_stop_leaves_the_rotation_first_and_serves_meanwhile() {
-    let site = Site::start(31, 1);
+    let site = Site::start(PROGRAM, 31, 1);
     let mut daemon = site.daemon(1, &[1]);
     site.wait_ready(&daemon);
     daemon.signal("TERM");
@@ -22,7 +23,7 @@
 
 #[test]
 fn settings_are_taken_up_or_refused_while_it_serves() {
-    let site = Site::start(32, 1);
+    let site = Site::start(PROGRAM, 32, 1);
     let daemon = site.daemon(1, &[1]);
     site.wait_ready(&daemon);
     daemon.signal("HUP");
--- a/crates/cicadaweird/tests/steered/store.rs
+++ b/crates/cicadaweird/tests/steered/store.rs
@@ -4,12 +4,13 @@
 
 use cicadaweir_standins::store::{Service, StoreFaults};
 
-use crate::site::{BOARD, SYN, Site, packet, wait_until};
+use crate::PROGRAM;
+use cicadaweir_standins::steered::{BOARD, SYN, Site, packet, wait_until};
 
 /// Changes the configuration while something is wrong, and expects it in
 /// force once that is over.
 fn survives(net: u8, faults: StoreFaults, compact: bool) {
-    let site = Site::start(net, 2);
+    let site = Site::start(PROGRAM, net, 2);
     let daemon = site.daemon(1, &[1]);
     site.wait_ready(&daemon);
     for version in [5, 9] {
@@ -66,7 +67,7 @@
 
 #[test]
 fn stale_reads_at_the_start_are_caught_up() {
-    let site = Site::start(15, 2);
+    let site = Site::start(PROGRAM, 15, 2);
     site.put_config(6, &[BOARD, 81]);
     site.put_config(7, &[BOARD, 82]);
     site.store.set_faults(StoreFaults {
@@ -79,7 +80,7 @@
 
 #[test]
 fn entries_and_configurations_that_can_t_be_read_leave_the_others_in_force() {
-    let site = Site::start(16, 1);
+    let site = Site::start(PROGRAM, 16, 1);
     let daemon = site.daemon(1, &[1]);
     site.wait_ready(&daemon);
     site.store.put("servers/i-0a0b", b"\xff\xfe not json");
@@ -94,7 +95,7 @@
 
 #[test]
 fn a_daemon_without_a_store_is_not_ready_until_there_is_one() {
-    let site = Site::start(17, 1);
+    let site = Site::start(PROGRAM, 17, 1);
     site.store.set_faults(StoreFaults {
         service: Service::Busy,
         ..StoreFaults::default()
