refactor: one loop, one planned stop and one watch of signals for both carriers

The cookie daemon had written the turning of the loop, the end of a planned stop, the signals and the check of settings again. Settings::load was no longer called.

--- a/crates/cicadaweird/src/daemon.rs
+++ b/crates/cicadaweird/src/daemon.rs
@@ -6,7 +6,6 @@
 mod outputs;
 mod report;
 mod run;
-mod stopping;
 
 pub use handle::{Handle, spawn};
 pub use run::run;
--- a/crates/cicadaweird/src/daemon/engine.rs
+++ b/crates/cicadaweird/src/daemon/engine.rs
@@ -23,10 +23,11 @@
     pool::Pool,
     settings::Settings,
     socket::BatchSocket,
+    stopping::{StopSpan, Stopping},
     tracing::Tracer,
 };
 
-use super::{outputs::Current, report::DaemonCounters, stopping::Stopping};
+use super::{outputs::Current, report::DaemonCounters};
 
 /// Packets that may wait: for an answer of another entry VM, or for their turn
 /// on the way out.
@@ -55,8 +56,7 @@
     reporter: Reporter,
     next_report: Instant,
     pub stopping: Option<Stopping>,
-    quiet_stop: Duration,
-    stop_limit: Duration,
+    stop_span: StopSpan,
 }
 
 impl Engine {
@@ -100,8 +100,11 @@
             reporter: Reporter::new(settings.metrics.statsd),
             next_report: Instant::now(),
             stopping: None,
-            quiet_stop: Duration::from_secs(settings.limits.quiet_stop_secs),
-            stop_limit: Duration::from_secs(settings.limits.stop_secs),
+            stop_span: StopSpan {
+                least: Duration::ZERO,
+                quiet: Duration::from_secs(settings.limits.quiet_stop_secs),
+                most: Duration::from_secs(settings.limits.stop_secs),
+            },
         }
     }
 
@@ -144,7 +147,7 @@
     fn stop(&mut self, tunnel: &BatchSocket, peer: &BatchSocket) {
         if self.stopping.is_none() {
             let now = Instant::now();
-            self.stopping = Some(Stopping::new(now, self.quiet_stop, self.stop_limit));
+            self.stopping = Some(Stopping::new(now, self.stop_span));
             self.step(tunnel, peer, Event::Leave, None);
         }
     }
--- a/crates/cicadaweird/src/daemon/run.rs
+++ b/crates/cicadaweird/src/daemon/run.rs
@@ -22,6 +22,7 @@
     probe,
     settings::Settings,
     socket::{Batch, BatchSocket},
+    turn::turn,
 };
 
 use super::engine::Engine;
@@ -62,23 +63,11 @@
         return Err(err);
     }
     started(inbox);
-    let turned = turn(s, &poll);
+    let turned = turn(s, &poll, MAX_WAIT);
     shared.ended.store(true, Ordering::Relaxed);
     turned
 }
 
-fn turn(s: &mut Stakker, poll: &MioPoll) -> io::Result<()> {
-    let mut idle_pending = s.run(Instant::now(), false);
-    let mut io_pending = false;
-    while s.not_shutdown() {
-        let wait = s.next_wait_max(Instant::now(), MAX_WAIT, idle_pending || io_pending);
-        let (activity, pending) = poll.poll(wait)?;
-        io_pending = pending;
-        idle_pending = s.run(Instant::now(), !activity);
-    }
-    Ok(())
-}
-
 /// What the daemon's actor is made of.
 struct Parts {
     settings: Settings,
--- a/crates/cicadaweird/src/lib.rs
+++ b/crates/cicadaweird/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`daemon`] | the loop: events in, actions out |
 //! | [`steered`] | the same for packets that name their target |
 //! | [`logs`] | bounded log lines that never block |
+//! | [`turn`](mod@turn), [`signals`], [`stopping`] | turning a loop, what signals ask of it, how it ends |
 //! | [`tunnel`] | Geneve and the inner packet |
 //! | [`socket`] | batched UDP |
 //! | [`platform`] | the store and the membership list, behind one trait |
@@ -32,7 +33,10 @@
 pub mod pool;
 pub mod probe;
 pub mod settings;
+pub mod signals;
 pub mod socket;
 pub mod steered;
+pub mod stopping;
 pub mod tracing;
 pub mod tunnel;
+pub mod turn;
--- a/crates/cicadaweird/src/main.rs
+++ b/crates/cicadaweird/src/main.rs
@@ -1,20 +1,15 @@
 //! The daemon's program: arguments, settings, signals, then the loop.
 
-use std::{io::Write, process::ExitCode, thread};
+use std::{io::Write, process::ExitCode};
 
 use bpaf::Bpaf;
 use cicadaweird::{
-    daemon,
-    inbox::{Inbox, Input},
-    logs,
+    daemon, inbox, logs,
     settings::Carrier,
+    signals::{self, Asked},
     steered,
 };
 use log::{error, info};
-use signal_hook::{
-    consts::{SIGHUP, SIGINT, SIGTERM},
-    iterator::Signals,
-};
 
 /// The exit code for settings that are not allowed.
 const EXIT_SETTINGS: u8 = 2;
@@ -49,10 +44,12 @@
         return ExitCode::SUCCESS;
     }
     let ended = match settings {
-        Carrier::Geneve(settings) => daemon::run(*settings, watch_signals),
-        Carrier::Cookie(settings) => {
-            steered::run(*settings, &arguments.settings, steered::watch_signals)
+        Carrier::Geneve(settings) => {
+            daemon::run(*settings, |inbox| signals::watch(inbox, geneve_input))
         }
+        Carrier::Cookie(settings) => steered::run(*settings, &arguments.settings, |inbox| {
+            signals::watch(inbox, steered_input);
+        }),
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
@@ -63,28 +60,23 @@
     }
 }
 
-/// Turns the first SIGTERM or SIGINT into a planned stop, and the second
-/// into an end at once.
-fn watch_signals(inbox: Inbox) {
-    let Ok(mut signals) = Signals::new([SIGTERM, SIGINT, SIGHUP]) else {
-        return error!("signals can't be watched");
-    };
-    thread::spawn(move || {
-        let mut stops = 0;
-        for signal in signals.forever() {
-            if signal == SIGHUP {
-                info!("settings are read at the start only; services change by release notes");
-                continue;
-            }
-            stops += 1;
-            let input = if stops == 1 {
-                Input::Stop
-            } else {
-                Input::Abort
-            };
-            if !inbox.send(input) {
-                return;
-            }
+/// Returns the input of the Geneve loop for a signal.
+fn geneve_input(asked: Asked) -> Option<inbox::Input> {
+    match asked {
+        Asked::Reload => {
+            info!("settings are read at the start only; services change by release notes");
+            None
         }
-    });
+        Asked::Stop => Some(inbox::Input::Stop),
+        Asked::Abort => Some(inbox::Input::Abort),
+    }
+}
+
+/// Returns the input of the cookie loop for a signal.
+fn steered_input(asked: Asked) -> Option<steered::Input> {
+    Some(match asked {
+        Asked::Reload => steered::Input::Reload,
+        Asked::Stop => steered::Input::Stop,
+        Asked::Abort => steered::Input::Abort,
+    })
 }
--- a/crates/cicadaweird/src/settings/carrier.rs
+++ b/crates/cicadaweird/src/settings/carrier.rs
@@ -29,7 +29,9 @@
 }
 
 impl Carrier {
-    /// Reads and checks a settings file of either kind.
+    /// Reads and checks a settings file of either kind. In one for Geneve the
+    /// environment variables `CICADAWEIR_MEMBER_ID`, `CICADAWEIR_MEMBER_ZONE`
+    /// and `CICADAWEIR_HASH_KEY` go before the file.
     ///
     /// # Errors
     ///
--- a/crates/cicadaweird/src/settings/check.rs
+++ b/crates/cicadaweird/src/settings/check.rs
@@ -2,7 +2,10 @@
 
 use cicadaweir_core::{hash::HashKey, node, time::Duration};
 
-use super::{Settings, SettingsError, error::WrongValue};
+use super::{
+    Settings, SettingsError,
+    error::{WrongValue, require},
+};
 
 impl Settings {
     /// Parses and checks settings; `env` looks up environment variables.
@@ -32,15 +35,7 @@
     }
 
     fn check(&self, wrong: &mut Vec<WrongValue>) {
-        let mut require = |ok: bool, key, value: String, allowed| {
-            if !ok {
-                wrong.push(WrongValue {
-                    key,
-                    value,
-                    allowed,
-                });
-            }
-        };
+        let mut require = |ok, key, value, allowed| require(wrong, ok, key, value, allowed);
         let hex = self.hash_key.len() == 32 && self.hash_key.bytes().all(|b| b.is_ascii_hexdigit());
         require(
             hex,
--- a/crates/cicadaweird/src/settings/cookie.rs
+++ b/crates/cicadaweird/src/settings/cookie.rs
@@ -1,10 +1,14 @@
 //! Settings of a daemon whose packets name their target.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
-use super::{SettingsError, error::WrongValue};
+use super::{
+    SettingsError,
+    error::{WrongValue, require},
+};
+use crate::stopping::StopSpan;
 
 /// Everything that such a daemon is told.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -90,6 +94,17 @@
     }
 }
 
+impl CookieLimits {
+    /// Returns how long a planned stop takes.
+    pub const fn stop_span(&self) -> StopSpan {
+        StopSpan {
+            least: Duration::from_millis(self.stop_least_ms),
+            quiet: Duration::from_millis(self.stop_quiet_ms),
+            most: Duration::from_millis(self.stop_most_ms),
+        }
+    }
+}
+
 impl CookieSettings {
     /// Parses and checks settings.
     ///
@@ -109,15 +124,7 @@
     }
 
     fn check(&self, wrong: &mut Vec<WrongValue>) {
-        let mut require = |ok: bool, key, value: String, allowed| {
-            if !ok {
-                wrong.push(WrongValue {
-                    key,
-                    value,
-                    allowed,
-                });
-            }
-        };
+        let mut require = |ok, key, value, allowed| require(wrong, ok, key, value, allowed);
         for (key, text) in [
             ("member.name", &self.member.name),
             ("member.zone", &self.member.zone),
--- a/crates/cicadaweird/src/settings/error.rs
+++ b/crates/cicadaweird/src/settings/error.rs
@@ -29,6 +29,23 @@
     pub allowed: &'static str,
 }
 
+/// Notes a value that is not allowed.
+pub(super) fn require(
+    wrong: &mut Vec<WrongValue>,
+    ok: bool,
+    key: &'static str,
+    value: String,
+    allowed: &'static str,
+) {
+    if !ok {
+        wrong.push(WrongValue {
+            key,
+            value,
+            allowed,
+        });
+    }
+}
+
 impl fmt::Display for SettingsError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/cicadaweird/src/settings/file.rs
+++ b/crates/cicadaweird/src/settings/file.rs
@@ -4,8 +4,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::SettingsError;
-
 /// Everything that a daemon is told at its start.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -122,20 +120,3 @@
     /// One flow in this many is traced; 0 for none.
     pub one_in: u32,
 }
-
-impl Settings {
-    /// Reads and checks a settings file. Environment variables
-    /// `CICADAWEIR_MEMBER_ID`, `CICADAWEIR_MEMBER_ZONE` and
-    /// `CICADAWEIR_HASH_KEY` go before the file.
-    ///
-    /// # Errors
-    ///
-    /// [`SettingsError`] that names every key that is wrong.
-    pub fn load(path: &str) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|err| SettingsError::Unreadable {
-            path: path.to_owned(),
-            why: err.to_string(),
-        })?;
-        Self::parse(&text, |name| std::env::var(name).ok())
-    }
-}
--- a/crates/cicadaweird/src/steered.rs
+++ b/crates/cicadaweird/src/steered.rs
@@ -20,8 +20,6 @@
 mod follow;
 mod meters;
 mod run;
-mod signals;
-mod stopping;
 
 pub use client::{FeedAnswer, FeedClient, StoreClient, StoreError};
 pub use engine::Engine;
@@ -29,5 +27,3 @@
 pub use follow::{Follower, News};
 pub use meters::Meters;
 pub use run::{Inbox, Input, run};
-pub use signals::watch_signals;
-pub use stopping::Stopping;
--- a/crates/cicadaweird/src/steered/engine.rs
+++ b/crates/cicadaweird/src/steered/engine.rs
@@ -26,9 +26,10 @@
     pool::Pool,
     settings::{Carrier, CookieSettings},
     socket::BatchSocket,
+    stopping::Stopping,
 };
 
-use super::{Meters, News, Stopping};
+use super::{Meters, News};
 
 /// How often the settings file is looked at without a signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
@@ -213,13 +214,13 @@
     /// Begins a planned stop.
     pub fn stop(&mut self) {
         info!(flows = self.steering.flow_count(); "stopping");
-        self.stopping = Some(Stopping::new(self.clock, &self.settings.limits));
+        self.stopping = Some(Stopping::new(self.clock, self.settings.limits.stop_span()));
         self.update_readiness();
     }
 
     /// Returns whether a planned stop is over.
     pub fn has_stopped(&self) -> bool {
-        self.stopping.is_some_and(|s| s.is_over(self.clock))
+        self.stopping.is_some_and(|s| s.is_over(self.clock, true))
     }
 
     /// Does what is due.
--- a/crates/cicadaweird/src/steered/run.rs
+++ b/crates/cicadaweird/src/steered/run.rs
@@ -19,6 +19,7 @@
     inbox,
     settings::CookieSettings,
     socket::{Batch, BatchSocket},
+    turn::turn,
 };
 
 use super::{Engine, Feed, FeedClient, Follower, News, StoreClient, endpoint};
@@ -77,19 +78,7 @@
         return Err(err);
     }
     started(inbox);
-    turn(s, &poll)
-}
-
-fn turn(s: &mut Stakker, poll: &MioPoll) -> io::Result<()> {
-    let mut idle_pending = s.run(Instant::now(), false);
-    let mut io_pending = false;
-    while s.not_shutdown() {
-        let wait = s.next_wait_max(Instant::now(), MAX_WAIT, idle_pending || io_pending);
-        let (activity, pending) = poll.poll(wait)?;
-        io_pending = pending;
-        idle_pending = s.run(Instant::now(), !activity);
-    }
-    Ok(())
+    turn(s, &poll, MAX_WAIT)
 }
 
 struct Parts {
--- /dev/null
+++ b/crates/cicadaweird/src/stopping.rs
@@ -0,0 +1,47 @@
+//! How a planned stop ends.
+
+use std::time::{Duration, Instant};
+
+/// A planned stop in progress.
+#[derive(Debug, Clone, Copy)]
+pub struct Stopping {
+    asked: Instant,
+    last_packet: Instant,
+    span: StopSpan,
+}
+
+/// How long a planned stop takes.
+#[derive(Debug, Clone, Copy)]
+pub struct StopSpan {
+    /// It lasts so long at least.
+    pub least: Duration,
+    /// It ends after so long without packets.
+    pub quiet: Duration,
+    /// It ends after so long in any case.
+    pub most: Duration,
+}
+
+impl Stopping {
+    /// Begins a stop.
+    pub fn new(now: Instant, span: StopSpan) -> Self {
+        Self {
+            asked: now,
+            last_packet: now,
+            span,
+        }
+    }
+
+    /// Notes that a packet came.
+    pub fn packet(&mut self, now: Instant) {
+        self.last_packet = now;
+    }
+
+    /// Returns whether the process may end. `handed_over` tells that nothing
+    /// depends on it any more.
+    pub fn is_over(&self, now: Instant, handed_over: bool) -> bool {
+        let lasted = now.duration_since(self.asked);
+        let quiet = now.duration_since(self.last_packet) >= self.span.quiet;
+        let done = handed_over && quiet && lasted >= self.span.least;
+        done || lasted >= self.span.most
+    }
+}
--- /dev/null
+++ b/crates/cicadaweird/src/turn.rs
@@ -0,0 +1,26 @@
+//! Turning the `stakker` loop.
+
+use std::{
+    io,
+    time::{Duration, Instant},
+};
+
+use stakker::Stakker;
+use stakker_mio::MioPoll;
+
+/// Turns the loop until an actor shuts it down; it sleeps `longest` at most.
+///
+/// # Errors
+///
+/// The operating system's error if polling fails.
+pub fn turn(s: &mut Stakker, poll: &MioPoll, longest: Duration) -> io::Result<()> {
+    let mut idle_pending = s.run(Instant::now(), false);
+    let mut io_pending = false;
+    while s.not_shutdown() {
+        let wait = s.next_wait_max(Instant::now(), longest, idle_pending || io_pending);
+        let (activity, pending) = poll.poll(wait)?;
+        io_pending = pending;
+        idle_pending = s.run(Instant::now(), !activity);
+    }
+    Ok(())
+}
