refactor: read a flow once for each packet, and the takers of a service by one name

A known flow was copied out of the table and put back, three look-ups a packet. 'Targets that take openings' was spelled out five times. Removals carried a time and routes a time-out that nothing read. The zone bound of early resets was 'one more than' another; it is an option of its own with the same value.

--- a/crates/cicadaweir-core/src/mirror.rs
+++ b/crates/cicadaweir-core/src/mirror.rs
@@ -47,7 +47,8 @@
     page_after: Option<String>,
     seen: HashSet<String>,
     known: HashMap<String, u64>,
-    removed: HashMap<String, (u64, Instant)>,
+    /// Removals that are held back, by key, with their revisions.
+    removed: HashMap<String, u64>,
     failures: u32,
     must_pause: bool,
     lost_at: Option<Instant>,
@@ -116,7 +117,7 @@
             } => self.page(now, items, has_more, as_of, updates),
             Answer::Events { items, as_of } => {
                 for item in items {
-                    self.take(now, item, updates);
+                    self.take(item, updates);
                 }
                 self.revision = self.revision.max(as_of);
                 updates.push(Update::Current);
@@ -137,7 +138,7 @@
         if self.is_holding(now) {
             return;
         }
-        for (key, (revision, _)) in self.removed.drain() {
+        for (key, revision) in self.removed.drain() {
             updates.push(Update::Removed { key, revision });
         }
     }
@@ -199,7 +200,7 @@
         self.page_after = items.last().map(|item| item.key.clone());
         for item in items {
             self.seen.insert(item.key.clone());
-            self.take(now, item, updates);
+            self.take(item, updates);
         }
         if has_more && self.page_after.is_some() {
             return;
@@ -211,7 +212,7 @@
             .map(|(key, _)| key.clone())
             .collect();
         for key in gone {
-            self.remove(now, key, from);
+            self.remove(key, from);
         }
         let stale = self.stage == Stage::Reading { stale: true };
         self.read_again(false);
@@ -225,10 +226,9 @@
         });
     }
 
-    fn take(&mut self, now: Instant, item: Item, updates: &mut Vec<Update>) {
-        let known = self.known.get(&item.key).copied().unwrap_or(0);
-        let removed = self.removed.get(&item.key).map_or(0, |r| r.0);
-        if item.revision <= known.max(removed) {
+    fn take(&mut self, item: Item, updates: &mut Vec<Update>) {
+        let known = self.known.get(&item.key).max(self.removed.get(&item.key));
+        if known.is_some_and(|&known| item.revision <= known) {
             return;
         }
         match item.value {
@@ -241,13 +241,13 @@
                     revision: item.revision,
                 });
             }
-            None => self.remove(now, item.key, item.revision),
+            None => self.remove(item.key, item.revision),
         }
     }
 
-    fn remove(&mut self, now: Instant, key: String, revision: u64) {
+    fn remove(&mut self, key: String, revision: u64) {
         if self.known.remove(&key).is_some() {
-            self.removed.insert(key, (revision, now));
+            self.removed.insert(key, revision);
         }
     }
 }
--- a/crates/cicadaweir-core/src/steer/directory.rs
+++ b/crates/cicadaweir-core/src/steer/directory.rs
@@ -190,6 +190,13 @@
         self.targets.get(key.0 as usize)?.as_ref()
     }
 
+    /// Returns the targets of a service that take new flows.
+    pub fn takers(&self, service: ServiceKey) -> impl Iterator<Item = (TargetKey, &TargetEntry)> {
+        let members = self.members(service).iter();
+        let entries = members.filter_map(|&key| Some((key, self.target(key)?)));
+        entries.filter(|(_, entry)| entry.takes_openings())
+    }
+
     /// Returns the target that a cookie names.
     pub fn by_cookie(&self, cookie: Cookie) -> Option<TargetKey> {
         self.by_cookie.get(&cookie).copied()
--- a/crates/cicadaweir-core/src/steer/options.rs
+++ b/crates/cicadaweir-core/src/steer/options.rs
@@ -34,6 +34,9 @@
     /// Repetitions without any answer in between after which a target
     /// counts as gone.
     pub certain_strikes: u32,
+    /// Repetitions of all of a zone's targets together that the next bound
+    /// wants besides: one more than a single target's.
+    pub zone_proof_strikes: u32,
     /// The same for a target in an availability zone that is silent as a
     /// whole.
     pub zone_certain_strikes: u32,
@@ -76,6 +79,7 @@
             proof_memory: Duration::from_millis(2_000),
             zone_targets: 2,
             certain_strikes: 3,
+            zone_proof_strikes: 4,
             zone_certain_strikes: 2,
             departed_strikes: 2,
             fresh_view: Duration::from_millis(4_000),
--- a/crates/cicadaweir-core/src/steer/route.rs
+++ b/crates/cicadaweir-core/src/steer/route.rs
@@ -22,8 +22,6 @@
     pub services: Vec<(Box<str>, u32)>,
     /// Whether its requests may run more than once.
     pub kind: WorkKind,
-    /// How long its requests may take.
-    pub timeout: Duration,
 }
 
 /// All routes of one configuration.
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -282,11 +282,7 @@
         let known = match segment.kind {
             PacketKind::Opening => {
                 let route = self.directory.route(&segment.flow.address, 0);
-                let members = route.map_or(&[][..], |(service, _)| self.directory.members(service));
-                members.iter().any(|&key| {
-                    let entry = self.directory.target(key);
-                    entry.is_some_and(TargetEntry::takes_openings)
-                })
+                route.is_some_and(|(service, _)| self.directory.takers(service).next().is_some())
             }
             _ => self.directory.by_cookie(segment.cookie).is_some(),
         };
@@ -348,11 +344,8 @@
     /// target is trusted there is nothing to wait for.
     fn has_room(&self, now: Instant, service: ServiceKey) -> bool {
         let mut trusted = false;
-        for &key in self.directory.members(service) {
-            let Some(entry) = self.directory.target(key) else {
-                continue;
-            };
-            if entry.takes_openings() && self.trust(now, key) == Trust::Trusted {
+        for (key, entry) in self.directory.takers(service) {
+            if self.trust(now, key) == Trust::Trusted {
                 trusted = true;
                 let most = self.options.room_per_slot * entry.slots as f32;
                 if (self.work(key).in_flight as f32) < most {
@@ -384,43 +377,28 @@
     ) -> Option<(TargetKey, OpeningInputs)> {
         let mut inputs = OpeningInputs::default();
         let mut best_trust = Trust::Suspected;
-        let silent = self.silent_zones(self.options.zone_targets);
-        for &key in self.directory.members(service) {
-            let takes = self
-                .directory
-                .target(key)
-                .is_some_and(TargetEntry::takes_openings);
-            if takes {
-                inputs.candidates += 1;
-                let trust = self.trust_in(now, key, silent);
-                inputs.trusted += u32::from(trust == Trust::Trusted);
-                if Some(key) != avoid {
-                    best_trust = best_trust.min(trust);
-                }
+        let silent = self.silent_zones(0);
+        for (key, entry) in self.directory.takers(service) {
+            inputs.candidates += 1;
+            let trust = self.trust_in(now, key, entry, silent);
+            inputs.trusted += u32::from(trust == Trust::Trusted);
+            if Some(key) != avoid {
+                best_trust = best_trust.min(trust);
             }
         }
-        let on_trial = self.trial(now, service, avoid, silent);
-        let chosen = on_trial.or_else(|| {
-            let (directory, members) = (&self.directory, self.directory.members(service));
-            let candidates = members.iter().filter_map(|&key| {
-                let entry = directory
-                    .target(key)
-                    .filter(|entry| entry.takes_openings())?;
-                let usable = Some(key) != avoid && self.trust_in(now, key, silent) <= best_trust;
-                usable.then(|| Candidate {
-                    target: key,
-                    score: self.score(now, key, entry),
-                })
+        let mut draw = Pcg64Mcg::seed_from_u64(self.rng.next_u64());
+        let chosen = self.trial(now, service, avoid, silent).or_else(|| {
+            let takers = self.directory.takers(service).filter(|&(key, entry)| {
+                Some(key) != avoid && self.trust_in(now, key, entry, silent) <= best_trust
             });
-            choose(candidates, &mut self.rng.clone())
+            let candidates = takers.map(|(key, entry)| self.candidate(now, key, entry));
+            choose(candidates, &mut draw)
         });
-        self.rng.next_u32();
         let chosen = chosen.or_else(|| {
-            let entry = self.directory.target(avoid?)?;
-            entry.takes_openings().then(|| Candidate {
-                target: avoid.unwrap_or(TargetKey(0)),
-                score: f32::INFINITY,
-            })
+            let key = avoid?;
+            let entry = self.directory.target(key)?;
+            let takes = entry.takes_openings();
+            takes.then(|| self.candidate(now, key, entry))
         })?;
         inputs.score = chosen.score;
         inputs.in_flight = self.work(chosen.target).in_flight as f32;
@@ -438,36 +416,33 @@
         if avoid.is_some() {
             return None;
         }
-        let members = self.directory.members(service);
-        let key = members.iter().copied().find(|&key| {
-            self.trust(now, key) == Trust::OnTrial
-                && self.may_try(now, key, silent)
-                && self
-                    .directory
-                    .target(key)
-                    .is_some_and(TargetEntry::takes_openings)
+        let mut takers = self.directory.takers(service);
+        let (key, entry) = takers.find(|&(key, entry)| {
+            self.trust(now, key) == Trust::OnTrial && self.may_try(now, entry, silent)
         })?;
-        let entry = self.directory.target(key)?;
-        let score = self.score(now, key, entry);
-        let zone_trial = &mut self.zone_trials[usize::from(entry.zone.0)];
-        if silent.contains(entry.zone) {
-            *zone_trial = Some(now);
+        let (zone, candidate) = (entry.zone, self.candidate(now, key, entry));
+        if silent.contains(zone) {
+            self.zone_trials[usize::from(zone.0)] = Some(now);
         }
         self.suspicion[key.0 as usize].begin_trial(now, self.options.suspicion_hold);
-        Some(Candidate { target: key, score })
+        Some(candidate)
     }
 
     /// Returns whether a target on trial may get a flow now: a silent
     /// availability zone is tried through one target at a time.
-    fn may_try(&self, now: Instant, key: TargetKey, silent: ZoneSet) -> bool {
-        let Some(entry) = self.directory.target(key) else {
-            return false;
-        };
+    fn may_try(&self, now: Instant, entry: &TargetEntry, silent: ZoneSet) -> bool {
         let tried = self.zone_trials[usize::from(entry.zone.0)];
         let recently = tried.is_some_and(|at| now.since(at) < self.options.suspicion_hold);
         !(silent.contains(entry.zone) && recently)
     }
 
+    fn candidate(&self, now: Instant, target: TargetKey, entry: &TargetEntry) -> Candidate {
+        Candidate {
+            target,
+            score: self.score(now, target, entry),
+        }
+    }
+
     fn score(&self, now: Instant, key: TargetKey, entry: &TargetEntry) -> f32 {
         let o = &self.options;
         let work = self.work(key);
@@ -488,21 +463,19 @@
     }
 
     fn later(&mut self, now: Instant, segment: &Segment) -> Verdict {
-        let Some(mut flow) = self.flows.get_mut(&segment.flow).copied() else {
+        let Some(flow) = self.flows.get_mut(&segment.flow) else {
             return self.adopt(now, segment);
         };
-        if flow.phase == FlowPhase::Opening {
-            match self.directory.by_cookie(segment.cookie) {
-                Some(named) if named != flow.target => self.move_flow(&mut flow, named, now),
-                Some(_) => {}
-                None if segment.cookie.is_some() => {
-                    return Verdict::Drop(DropReason::TargetUnknown);
-                }
-                None => {}
+        if flow.phase == FlowPhase::Opening && segment.cookie.is_some() {
+            let Some(named) = self.directory.by_cookie(segment.cookie) else {
+                return Verdict::Drop(DropReason::TargetUnknown);
+            };
+            if named != flow.target {
+                move_flow(&mut self.work, flow, named, now);
             }
         }
         let progress = flow.observe(segment, now);
-        self.flows.insert(segment.flow, flow, usize::MAX);
+        let flow = *flow;
         self.note(now, &flow, progress);
         match self.give_up(now, &flow, &progress) {
             Some(reason) => {
@@ -517,18 +490,6 @@
         }
     }
 
-    /// Follows the caller's choice among several targets that answered
-    /// copies of its opening.
-    fn move_flow(&mut self, flow: &mut FlowState, to: TargetKey, now: Instant) {
-        forget(&mut self.work[flow.target.0 as usize], flow);
-        flow.target = to;
-        let work = &mut self.work[to.0 as usize];
-        work.flow_opened();
-        if flow.request_since.is_some() {
-            work.request_started(now);
-        }
-    }
-
     fn adopt(&mut self, now: Instant, segment: &Segment) -> Verdict {
         let Some(target) = self.directory.by_cookie(segment.cookie) else {
             return Verdict::Drop(DropReason::TargetUnknown);
@@ -611,13 +572,17 @@
     }
 
     /// Returns how far a target is trusted, its availability zone included.
-    fn trust_in(&self, now: Instant, target: TargetKey, silent: ZoneSet) -> Trust {
-        let own = self.trust(now, target);
-        let zone = self.directory.target(target).map(|entry| entry.zone);
-        if zone.is_some_and(|zone| silent.contains(zone)) {
+    fn trust_in(
+        &self,
+        now: Instant,
+        key: TargetKey,
+        entry: &TargetEntry,
+        silent: ZoneSet,
+    ) -> Trust {
+        if silent.contains(entry.zone) {
             return Trust::Suspected;
         }
-        own
+        self.trust(now, key)
     }
 
     /// Returns the availability zones that seem cut off: several of a zone's
@@ -688,7 +653,9 @@
                     || self.has_answered(entry.zone, since)
             });
         let in_silent_zone = proof >= self.options.zone_certain_strikes
-            && self.silent_zones(certain + 1).contains(entry.zone);
+            && self
+                .silent_zones(self.options.zone_proof_strikes)
+                .contains(entry.zone);
         alone || in_silent_zone
     }
 
@@ -738,3 +705,15 @@
         work.request_ended();
     }
 }
+
+/// Follows the caller's choice among several targets that answered copies of
+/// its opening.
+fn move_flow(work: &mut [Work], flow: &mut FlowState, to: TargetKey, now: Instant) {
+    forget(&mut work[flow.target.0 as usize], flow);
+    flow.target = to;
+    let work = &mut work[to.0 as usize];
+    work.flow_opened();
+    if flow.request_since.is_some() {
+        work.request_started(now);
+    }
+}
--- a/crates/cicadaweir-core/tests/steer/world.rs
+++ b/crates/cicadaweir-core/tests/steer/world.rs
@@ -61,7 +61,6 @@
     let route = |service: &str, kind| Route {
         services: vec![(service.into(), 1)],
         kind,
-        timeout: Duration::from_secs(2),
     };
     let table = [
         (address(BOARD), route("classes", WorkKind::Idempotent)),
