refactor: one way to write and read a URL's query, one server loop for stand-ins

The feed, the platform's paths and a stand-in each had their own; the feed wrote a zone's name unescaped, so that one with a space would have kept an entry VM from following a seed. Property: any value comes back.

--- a/crates/cicadaweir-standins/src/lib.rs
+++ b/crates/cicadaweir-standins/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod fabric;
 pub mod platform;
 pub mod segment;
+mod serve;
 pub mod site;
 pub mod steered;
 pub mod store;
--- a/crates/cicadaweir-standins/src/platform/server.rs
+++ b/crates/cicadaweir-standins/src/platform/server.rs
@@ -13,12 +13,10 @@
 
 use cicadaweir_proto::list::ListRecord;
 use indexmap::IndexMap;
-use tiny_http::{Header, Method, Request, Response, Server};
+use tiny_http::{Header, Method, Request, Response};
 
 use super::{Faults, Kv, Put};
-
-/// How often the server looks whether it is to end.
-const PATIENCE: Duration = Duration::from_millis(100);
+use crate::serve::{self, PATIENCE};
 
 /// Calls answered so far, a waiting watch as one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -45,7 +43,7 @@
 struct Core {
     state: Mutex<State>,
     changed: Condvar,
-    ended: AtomicBool,
+    ended: Arc<AtomicBool>,
 }
 
 /// The platform's services on one address.
@@ -66,20 +64,9 @@
     ///
     /// If the server listens on something other than IP.
     pub fn start(addr: SocketAddr) -> io::Result<Self> {
-        let server =
-            Server::http(addr).map_err(|err| io::Error::other(format!("{addr}: {err}")))?;
-        let addr = server.server_addr().to_ip().expect("an IP listener");
         let core = Arc::new(Core::default());
         let shared = Arc::clone(&core);
-        thread::spawn(move || {
-            while !shared.ended.load(Ordering::Relaxed) {
-                let Ok(Some(req)) = server.recv_timeout(PATIENCE) else {
-                    continue;
-                };
-                let shared = Arc::clone(&shared);
-                thread::spawn(move || shared.serve(req));
-            }
-        });
+        let addr = serve::start(addr, &core.ended, move |req| shared.serve(req))?;
         Ok(Self { core, addr })
     }
 
--- a/crates/cicadaweir-standins/src/store/server.rs
+++ b/crates/cicadaweir-standins/src/store/server.rs
@@ -12,13 +12,12 @@
 };
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
+use cicadaweir_proto::query::argument;
 use serde_json::{Value, json};
-use tiny_http::{Request, Response, Server};
+use tiny_http::{Request, Response};
 
 use super::{Entry, History, Service, StoreFaults};
-
-/// How often the server looks whether it is to end.
-const PATIENCE: Duration = Duration::from_millis(100);
+use crate::serve::{self, PATIENCE};
 
 /// Keys on a page.
 const PAGE: usize = 50;
@@ -48,7 +47,7 @@
 struct Core {
     state: Mutex<State>,
     changed: Condvar,
-    ended: AtomicBool,
+    ended: Arc<AtomicBool>,
 }
 
 /// A store on one address.
@@ -65,19 +64,9 @@
     ///
     /// The operating system's error, with the address in it.
     pub fn start(addr: SocketAddr) -> io::Result<Self> {
-        let server =
-            Server::http(addr).map_err(|err| io::Error::other(format!("{addr}: {err}")))?;
         let core = Arc::new(Core::default());
         let shared = Arc::clone(&core);
-        thread::spawn(move || {
-            while !shared.ended.load(Ordering::Relaxed) {
-                let Ok(Some(req)) = server.recv_timeout(PATIENCE) else {
-                    continue;
-                };
-                let shared = Arc::clone(&shared);
-                thread::spawn(move || shared.serve(req));
-            }
-        });
+        let addr = serve::start(addr, &core.ended, move |req| shared.serve(req))?;
         Ok(Self { core, addr })
     }
 
@@ -215,22 +204,6 @@
     }
 }
 
-fn argument(query: &str, name: &str) -> Option<String> {
-    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let value = pairs.find(|pair| pair.0 == name)?.1;
-    let mut bytes = Vec::new();
-    let mut rest = value.bytes();
-    while let Some(byte) = rest.next() {
-        if byte == b'%' {
-            let digits: String = rest.by_ref().take(2).map(char::from).collect();
-            bytes.push(u8::from_str_radix(&digits, 16).unwrap_or(b'%'));
-        } else {
-            bytes.push(byte);
-        }
-    }
-    String::from_utf8(bytes).ok()
-}
-
 fn answer(req: Request, code: u16, body: &Value) {
     // A caller that has gone away needs no answer.
     let _ = req.respond(Response::from_string(body.to_string()).with_status_code(code));
--- a/crates/cicadaweird/src/steered/client.rs
+++ b/crates/cicadaweird/src/steered/client.rs
@@ -4,7 +4,10 @@
 
 use cicadaweir_core::mirror::{Answer, Item};
 use cicadaweir_platform::store::{self, Event};
-use cicadaweir_proto::feed::{AFTER_PATH, ALL_PATH, FeedBody};
+use cicadaweir_proto::{
+    feed::{AFTER_PATH, ALL_PATH, FeedBody},
+    query::escape,
+};
 use ureq::Agent;
 
 /// How long a connection may take: several times the store's usual answer.
@@ -115,7 +118,7 @@
         revision: u64,
         wait: Duration,
     ) -> Result<FeedAnswer, StoreError> {
-        let (wait_ms, own, zone) = (wait.as_millis(), self.own, &self.zone);
+        let (wait_ms, own, zone) = (wait.as_millis(), self.own, escape(&self.zone));
         let url = format!(
             "http://{peer}{AFTER_PATH}?revision={revision}&wait_ms={wait_ms}&from={own}&zone={zone}"
         );
--- a/crates/cicadaweird/src/steered/feed.rs
+++ b/crates/cicadaweird/src/steered/feed.rs
@@ -9,7 +9,10 @@
 };
 
 use cicadaweir_core::mirror::{Answer, Log, Unknown};
-use cicadaweir_proto::feed::{AFTER_PATH, ALL_PATH, FeedBody};
+use cicadaweir_proto::{
+    feed::{AFTER_PATH, ALL_PATH, FeedBody},
+    query,
+};
 use flate2::{Compression, write::GzEncoder};
 use indexmap::IndexMap;
 use log::debug;
@@ -158,13 +161,13 @@
                 });
             }
             AFTER_PATH => {
-                let argument = |name| argument(arguments, name);
+                let argument = |name| query::argument(arguments, name);
                 let revision = argument("revision").and_then(|text| text.parse().ok());
                 let wait = argument("wait_ms").and_then(|text| text.parse().ok());
                 let wait = Duration::from_millis(wait.unwrap_or(0)).min(LONGEST_WAIT);
                 let from = argument("from").and_then(|text| text.parse().ok());
                 let zone = argument("zone").unwrap_or_default();
-                let instead = from.and_then(|from| state.follow(from, zone, &self.zone, now));
+                let instead = from.and_then(|from| state.follow(from, &zone, &self.zone, now));
                 if let Some(instead) = instead {
                     drop(state);
                     return respond(req, redirect(instead));
@@ -261,11 +264,6 @@
     }
 }
 
-fn argument<'a>(arguments: &'a str, name: &str) -> Option<&'a str> {
-    let mut pairs = arguments.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.find(|pair| pair.0 == name).map(|pair| pair.1)
-}
-
 fn redirect(instead: SocketAddr) -> Reply {
     encode(&FeedBody {
         instead: Some(instead.to_string()),
