--- a/crates/cicadaweir-standins/src/steered.rs
+++ b/crates/cicadaweir-standins/src/steered.rs
@@ -24,6 +24,9 @@
 /// The port of packets, of callers too.
 const PACKETS: u16 = 8_172;
 
+/// The bytes of a head that name its flow.
+const FLOW_BYTES: usize = 12;
+
 /// The port of the route.
 pub const BOARD: u16 = 8_443;
 
@@ -237,7 +240,8 @@
         })
     }
 
-    /// Sends a packet until a target gets it.
+    /// Sends a packet until a target gets it. Packets of other flows, sent
+    /// before and read late, don't count.
     ///
     /// # Panics
     ///
@@ -246,8 +250,10 @@
         let start = Instant::now();
         while start.elapsed() < PATIENCE {
             self.send(daemon, bytes);
-            if let Some(found) = self.arrived() {
-                return found;
+            if let Some((n, got)) = self.arrived() {
+                if got[packet::TARGET_BYTES..][..FLOW_BYTES] == bytes[..FLOW_BYTES] {
+                    return (n, got);
+                }
             }
         }
         panic!("no target got the packet");
