fix: count packets that had to wait, and those that waited in vain

The counter of waits was kept and shown nowhere, and a packet that waited too long was logged and not counted. The metrics now walk one list of counts in place of three.

--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -35,13 +35,35 @@
     /// Suspected targets that answered again.
     pub cleared: u64,
     /// Resets by reason, in the order of [`ResetReason`].
-    pub resets: [u64; 4],
+    pub resets: [u64; ResetReason::ALL.len()],
     /// Dropped packets by reason, in the order of [`DropReason`].
-    pub drops: [u64; 6],
+    pub drops: [u64; DropReason::ALL.len()],
     /// Packets that had to wait.
     pub waits: u64,
 }
 
+impl Counters {
+    /// Returns all counts by decision and detail, always in the same order.
+    pub fn entries(&self) -> impl Iterator<Item = (&'static str, &'static str, u64)> {
+        let single = [
+            ("placed", "new", self.placed),
+            ("placed", "repeated", self.repeated_openings),
+            ("forwarded", "known", self.forwarded),
+            ("forwarded", "adopted", self.adopted),
+            ("waited", "any", self.waits),
+            ("request", "answered", self.answered),
+            ("request", "repeated", self.repeated_requests),
+            ("belief", "suspected", self.suspected),
+            ("belief", "cleared", self.cleared),
+        ];
+        let resets = ResetReason::ALL.iter().zip(self.resets);
+        let resets = resets.map(|(reason, count)| ("reset", reason.name(), count));
+        let drops = DropReason::ALL.iter().zip(self.drops);
+        let drops = drops.map(|(reason, count)| ("drop", reason.name(), count));
+        single.into_iter().chain(resets).chain(drops)
+    }
+}
+
 /// What speaks against one availability zone.
 #[derive(Debug, Clone, Copy, Default)]
 struct ZoneSilence {
@@ -210,8 +232,9 @@
     /// handed to [`Steering::waited`], `Err` has waited too long.
     pub fn next_waiter(&mut self, now: Instant) -> Option<Result<Waiter, Waiter>> {
         if !self.complete {
-            let patience = self.options.view_patience;
-            return self.waiting.pop_expired(now, patience).map(Err);
+            let expired = self.waiting.pop_expired(now, self.options.view_patience)?;
+            self.count(&Verdict::Drop(DropReason::Waited));
+            return Some(Err(expired));
         }
         if let Some(waiter) = self.waiting.pop_expired(now, self.options.room_patience) {
             return Some(Ok(waiter));
--- a/crates/cicadaweir-core/tests/steer/waiting.rs
+++ b/crates/cicadaweir-core/tests/steer/waiting.rs
@@ -87,6 +87,14 @@
         [(7, Verdict::Drop(DropReason::Waited))]
     );
     assert!(!vm.has_waiting());
+    let counted = |decision, detail| {
+        let mut entries = vm.counters().entries();
+        entries
+            .find(|e| (e.0, e.1) == (decision, detail))
+            .map(|e| e.2)
+    };
+    assert_eq!(counted("waited", "any"), Some(1));
+    assert_eq!(counted("drop", "waited"), Some(1));
 }
 
 // Replays a crowd: more openings at once than all targets have slots.
--- a/crates/cicadaweird/src/steered/meters.rs
+++ b/crates/cicadaweird/src/steered/meters.rs
@@ -7,7 +7,7 @@
 
 use cicadaweir_core::{
     mirror::{Answer, Call, Source},
-    steer::{Counters, DropReason, Observation, ResetReason},
+    steer::{Counters, Observation},
 };
 use log::error;
 use prometheus_client::{
@@ -155,50 +155,10 @@
     /// Adds what the core has decided since the last call.
     pub fn count(&self, counters: &Counters) {
         let mut counted = self.counted.lock().unwrap_or_else(PoisonError::into_inner);
-        let pairs = [
-            ("placed", "new", counters.placed, counted.placed),
-            (
-                "placed",
-                "repeated",
-                counters.repeated_openings,
-                counted.repeated_openings,
-            ),
-            ("forwarded", "known", counters.forwarded, counted.forwarded),
-            ("forwarded", "adopted", counters.adopted, counted.adopted),
-            ("request", "answered", counters.answered, counted.answered),
-            (
-                "request",
-                "repeated",
-                counters.repeated_requests,
-                counted.repeated_requests,
-            ),
-            ("belief", "suspected", counters.suspected, counted.suspected),
-            ("belief", "cleared", counters.cleared, counted.cleared),
-        ];
-        for (decision, detail, now, before) in pairs {
-            self.add(decision, detail, now - before);
-        }
-        for reason in ResetReason::ALL {
-            let at = reason as usize;
-            self.add(
-                "reset",
-                reason.name(),
-                counters.resets[at] - counted.resets[at],
-            );
-        }
-        for reason in DropReason::ALL {
-            let at = reason as usize;
-            self.add(
-                "drop",
-                reason.name(),
-                counters.drops[at] - counted.drops[at],
-            );
+        for (now, before) in counters.entries().zip(counted.entries()) {
+            let labels = vec![("decision", now.0), ("detail", now.1)];
+            self.packets.get_or_create(&labels).inc_by(now.2 - before.2);
         }
         *counted = *counters;
     }
-
-    fn add(&self, decision: &'static str, detail: &'static str, growth: u64) {
-        let labels = vec![("decision", decision), ("detail", detail)];
-        self.packets.get_or_create(&labels).inc_by(growth);
-    }
 }
