test: two checks that a broken decision had passed

Not caught: a copy of an opening sent to the same, trusted target again, and a target struck anew that counts by its first strike. Each has a test now, and fails it.

--- a/crates/cicadaweir-core/tests/steer/openings.rs
+++ b/crates/cicadaweir-core/tests/steer/openings.rs
@@ -8,7 +8,8 @@
 };
 
 use crate::world::{
-    BOARD, SHEET, chosen, close, entry_vm, flow, ms, open, opening, roomy, routes, target,
+    BOARD, SHEET, acknowledgement, chosen, close, cookie, entry_vm, flow, ms, open, opening, roomy,
+    routes, target,
 };
 
 #[test]
@@ -56,6 +57,27 @@
     assert_eq!(open, 1, "the flow counts once");
 }
 
+// The first target answers others, so that nothing speaks against it.
+#[test]
+fn a_repeated_opening_goes_to_another_target_even_if_the_first_is_trusted() {
+    for seed in 0..20 {
+        let mut vm = entry_vm(2);
+        let other = flow(1_000 + seed, BOARD);
+        let busy = open(&mut vm, ms(0), other);
+        let mut key = flow(1, BOARD);
+        for caller in 1..50 {
+            key = flow(caller, BOARD);
+            let verdict = vm.packet(ms(0), &opening(key, 0));
+            if chosen(&vm, verdict) == busy {
+                break;
+            }
+        }
+        vm.packet(ms(100), &acknowledgement(other, cookie(busy), 2_000));
+        let verdict = vm.packet(ms(200), &opening(key, 1));
+        assert_ne!(chosen(&vm, verdict), busy);
+    }
+}
+
 #[test]
 fn a_repeated_opening_goes_to_the_only_target_again() {
     let mut vm = entry_vm(1);
--- a/crates/cicadaweir-core/tests/steer/suspicion.rs
+++ b/crates/cicadaweir-core/tests/steer/suspicion.rs
@@ -197,6 +197,31 @@
     }
 }
 
+#[test]
+fn a_target_struck_again_counts_by_what_it_left_unanswered_last() {
+    let mut vm = entry_vm(12);
+    let strike = |vm: &mut Steering, key, n, sent| {
+        vm.packet(ms(sent), &data(key, cookie(n), 101, 1_000));
+        vm.packet(ms(sent + 200), &data(key, cookie(n), 101, 1_000));
+    };
+    let struck = open_at(&mut vm, ms(0), BOARD, 8, 100);
+    let again = open_at(&mut vm, ms(0), BOARD, 8, 40_000);
+    strike(&mut vm, struck, 8, 10);
+    let alive = open_at(&mut vm, ms(300), BOARD, 11, 2_500);
+    vm.packet(ms(310), &acknowledgement(alive, cookie(11), 2_000));
+    let key = open_at(&mut vm, ms(320), BOARD, 2, 10_000);
+    answer_elsewhere(&mut vm, 900, &[2, 5, 8, 11], 13_000);
+    strike(&mut vm, again, 8, 800);
+    strike(&mut vm, key, 2, 800);
+    for caller in 50_000..50_100 {
+        let n = open(&mut vm, ms(1_050), flow(caller, BOARD));
+        assert!(
+            ![2, 5, 8, 11].contains(&n),
+            "target {n} lies in the zone that is cut off"
+        );
+    }
+}
+
 #[test]
 fn a_departed_target_that_no_longer_answers_has_its_flows_reset() {
     let mut vm = entry_vm(6);
