--- a/crates/cicadaweir-core/src/steer/observation.rs
+++ b/crates/cicadaweir-core/src/steer/observation.rs
@@ -1,6 +1,6 @@
 //! What packets have shown, for logs and metrics.
 
-use crate::{catalog::TargetKey, time::Duration};
+use crate::{catalog::TargetKey, flow::FlowKey, time::Duration};
 
 /// Something that was learned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -17,6 +17,15 @@
         /// The target.
         target: TargetKey,
     },
+    /// A caller has repeated a request, and its flow goes on.
+    Repeated {
+        /// The flow.
+        flow: FlowKey,
+        /// Its target.
+        target: TargetKey,
+        /// The time since the request was first sent.
+        waited: Duration,
+    },
     /// A caller has acknowledged the answer to its opening.
     OpeningAnswered {
         /// The time since its first opening passed here.
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -506,10 +506,19 @@
                 forget(&mut self.work[flow.target.0 as usize], &flow);
                 Verdict::Reset(reason)
             }
-            None => Verdict::Forward {
-                target: flow.target,
-                adopted: false,
-            },
+            None => {
+                if let Some(since) = progress.repeated {
+                    self.observations.push(Observation::Repeated {
+                        flow: segment.flow,
+                        target: flow.target,
+                        waited: now.since(since),
+                    });
+                }
+                Verdict::Forward {
+                    target: flow.target,
+                    adopted: false,
+                }
+            }
         }
     }
 
--- a/crates/cicadaweir-core/tests/steer/flows.rs
+++ b/crates/cicadaweir-core/tests/steer/flows.rs
@@ -165,6 +165,26 @@
     );
 }
 
+#[test]
+fn a_repeated_request_is_told_with_its_flow() {
+    let mut vm = entry_vm(3);
+    let key = flow(1, BOARD);
+    let n = open(&mut vm, ms(0), key);
+    for at in [10, 210] {
+        vm.packet(ms(at), &data(key, cookie(n), 101, 1_000));
+    }
+    let mut seen = Vec::new();
+    vm.take_observations(&mut seen);
+    let target = vm.directory().by_cookie(cookie(n)).expect("known");
+    let waited = Duration::from_millis(200);
+    let told = Observation::Repeated {
+        flow: key,
+        target,
+        waited,
+    };
+    assert!(seen.contains(&told), "{seen:?}");
+}
+
 #[test]
 fn idle_and_closed_flows_are_forgotten_and_their_work_with_them() {
     let mut vm = entry_vm(3);
--- a/crates/cicadaweird/src/logs/budget.rs
+++ b/crates/cicadaweird/src/logs/budget.rs
@@ -12,6 +12,8 @@
     Opening,
     /// A flow of another entry VM was taken on.
     Adopted,
+    /// A caller has repeated a request.
+    Repeated,
     /// A flow was reset.
     Reset,
     /// A packet was dropped.
@@ -22,9 +24,10 @@
 
 impl Kind {
     /// All kinds, in the order of their numbers.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Opening,
         Self::Adopted,
+        Self::Repeated,
         Self::Reset,
         Self::Drop,
         Self::Belief,
@@ -35,6 +38,7 @@
         match self {
             Self::Opening => "opening",
             Self::Adopted => "adopted",
+            Self::Repeated => "repeated",
             Self::Reset => "reset",
             Self::Drop => "drop",
             Self::Belief => "belief",
--- a/crates/cicadaweird/src/steered/engine.rs
+++ b/crates/cicadaweird/src/steered/engine.rs
@@ -341,6 +341,11 @@
                 Observation::Cleared { target } => {
                     self.log_belief("target answers again", target, 0)
                 }
+                Observation::Repeated {
+                    flow,
+                    target,
+                    waited,
+                } => self.log_repeated(flow, target, waited),
                 Observation::OpeningAnswered { .. } | Observation::RequestAnswered { .. } => {}
             }
         }
@@ -422,6 +427,23 @@
         );
     }
 
+    fn log_repeated(&mut self, flow: FlowKey, target: TargetKey, waited: time::Duration) {
+        if !self.budget.allows(Kind::Repeated, self.clock) {
+            return;
+        }
+        let entry = self.steering.directory().target(target);
+        let (strikes, silent) = self.steering.proof(self.now, target);
+        info!(
+            flow:display,
+            target_name = entry.map_or("", |entry| &entry.name),
+            waited_ms = waited.as_millis(),
+            strikes,
+            silent_ms = silent.as_millis(),
+            view_age_ms = self.view_age_ms();
+            "request repeated"
+        );
+    }
+
     fn log_belief(&mut self, what: &str, target: TargetKey, silent_ms: u64) {
         if !self.budget.allows(Kind::Belief, self.clock) {
             return;
--- a/crates/cicadaweird/src/steered/meters.rs
+++ b/crates/cicadaweird/src/steered/meters.rs
@@ -127,7 +127,9 @@
         match observation {
             Observation::OpeningAnswered { took } => self.opening_wait.observe(took.as_secs_f64()),
             Observation::RequestAnswered { took } => self.request_time.observe(took.as_secs_f64()),
-            Observation::Suspected { .. } | Observation::Cleared { .. } => {}
+            Observation::Suspected { .. }
+            | Observation::Cleared { .. }
+            | Observation::Repeated { .. } => {}
         }
     }
 
