perf: keep callers in their own availability zone while it keeps up

Change: another zone weighs a multiple of what the own zone's targets have to do, so that it means the same whatever share of the requests an entry VM sees; flows leave a zone with less than its share of the slots, and one that answers more slowly than usual. Targets with a free slot go first. A suspected target gets its trial only where it would be chosen anyway. An answer counts from the flow's packet before.

Two tests of suspicion and one of spreading assumed flows in all zones; they keep their assertions with a preference of none, and the default has its own.

--- a/crates/cicadaweir-core/src/steer.rs
+++ b/crates/cicadaweir-core/src/steer.rs
@@ -11,11 +11,15 @@
 //! |---|---|
 //! | [`Directory`] | which targets and routes exist, and which cookie names which target |
 //! | [`Flows`] | what the caller's packets show of a flow |
+//! | [`Preference`] | how strongly flows are kept in their own availability zone |
+//! | [`AnswerTimes`] | whether an availability zone answers a service as fast as usual |
 //! | [`Work`] | how much a target has to do, as the packets show it |
 //! | [`Suspicion`] | which targets and availability zones no longer answer |
 //! | [`Waiting`] | which packets wait for a decision |
 //! | [`Steering`] | where a packet goes: all of the above |
 
+mod affinity;
+mod answer_times;
 mod cookie;
 mod directory;
 mod flows;
@@ -32,6 +36,8 @@
 mod work;
 mod zones;
 
+pub use affinity::Preference;
+pub use answer_times::AnswerTimes;
 pub use cookie::{Cookie, Identity};
 pub use directory::{Applied, Change, Directory, Presence, TargetEntry};
 pub use flows::{Expired, FlowPhase, FlowState, Flows, Progress};
@@ -46,4 +52,4 @@
 pub use verdict::{DropReason, OpeningInputs, ResetReason, Verdict, WaitReason};
 pub use waiting::{Waiter, Waiting};
 pub use work::Work;
-pub use zones::ZoneSet;
+pub use zones::{Distances, ZoneSet};
--- a/crates/cicadaweir-core/src/steer/flows.rs
+++ b/crates/cicadaweir-core/src/steer/flows.rs
@@ -49,8 +49,10 @@
 /// What a packet says about its target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Progress {
-    /// The target has sent something that the caller hadn't acknowledged yet.
-    pub answered: bool,
+    /// The target has answered something that was sent at this time. An answer
+    /// counts from the flow's packet before, since the flow may have passed
+    /// other entry VMs meanwhile.
+    pub answered: Option<Instant>,
     /// The caller repeats what it first sent at this time.
     pub repeated: Option<Instant>,
     /// A request begins.
@@ -103,20 +105,20 @@
     /// Takes in a packet that isn't an opening.
     pub fn observe(&mut self, segment: &Segment, now: Instant) -> Progress {
         let mut progress = Progress::default();
-        self.last_packet = now;
+        let before = std::mem::replace(&mut self.last_packet, now);
         let opened = self.phase == FlowPhase::Opening;
         let advanced = segment.ack.wrapping_sub(self.ack) as i32 > 0;
         if opened {
             self.phase = FlowPhase::Open;
             self.ack = segment.ack;
             self.sequence = segment.sequence.wrapping_sub(1);
-            progress.answered = true;
+            progress.answered = Some(self.first_opening);
             progress.opening_took = Some(now.since(self.first_opening));
         } else if advanced {
             self.ack = segment.ack;
-            progress.answered = true;
+            progress.answered = Some(before);
         }
-        if progress.answered {
+        if progress.answered.is_some() {
             self.stalled_since = None;
         }
         if advanced
--- a/crates/cicadaweir-core/src/steer/options.rs
+++ b/crates/cicadaweir-core/src/steer/options.rs
@@ -58,8 +58,21 @@
     pub flow_weight: f32,
     /// What a request of the last second weighs, in requests in flight.
     pub rate_weight: f32,
-    /// What another availability zone weighs, in requests in flight.
+    /// What another availability zone weighs at least, in requests in flight.
     pub zone_weight: f32,
+    /// What another availability zone weighs besides, in mean loads of the own
+    /// zone's targets, while the own zone answers as fast as usual. Above 1 no
+    /// flow leaves a zone whose targets are equally busy.
+    pub zone_preference: f32,
+    /// The share of the own zone's demand that stays there, for each zone's
+    /// share of all slots.
+    pub own_share: f32,
+    /// How many times as long as usual the own zone may answer, beyond what
+    /// holds for the other zone, before flows leave it: more than the noise
+    /// of [`super::AnswerTimes`].
+    pub slowdown_tolerance: f32,
+    /// Over which span above that the preference falls to nothing.
+    pub slowdown_range: f32,
     /// How much more a request weighs on a target that has just started.
     pub warmup_factor: f32,
 }
@@ -90,6 +103,10 @@
             flow_weight: 0.15,
             rate_weight: 0.3,
             zone_weight: 0.3,
+            zone_preference: 2.0,
+            own_share: 0.85,
+            slowdown_tolerance: 0.3,
+            slowdown_range: 0.6,
             warmup_factor: 1.6,
         }
     }
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -1,5 +1,9 @@
 //! Where each packet goes.
 
+mod placing;
+mod silence;
+
+use hashbrown::HashMap;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -10,9 +14,9 @@
 };
 
 use super::{
-    Applied, Candidate, Change, Directory, DropReason, Expired, FlowPhase, FlowState, Flows,
-    Observation, OpeningInputs, Options, Presence, Progress, ResetReason, Segment, Suspicion,
-    TargetEntry, Trust, Verdict, WaitReason, Waiter, Waiting, Work, WorkKind, ZoneSet, choose,
+    AnswerTimes, Applied, Change, Directory, DropReason, Expired, FlowPhase, FlowState, Flows,
+    Observation, Options, Progress, ResetReason, Segment, Suspicion, Trust, Verdict, WaitReason,
+    Waiter, Waiting, Work,
 };
 
 /// What has been decided so far.
@@ -64,22 +68,6 @@
     }
 }
 
-/// What speaks against one availability zone.
-#[derive(Debug, Clone, Copy, Default)]
-struct ZoneSilence {
-    targets: u32,
-    strikes: u32,
-    since: Option<Instant>,
-}
-
-impl ZoneSilence {
-    fn add(&mut self, since: Instant, strikes: u32) {
-        self.targets += 1;
-        self.strikes += strikes;
-        self.since = Some(self.since.map_or(since, |known| known.min(since)));
-    }
-}
-
 /// One entry VM's decisions about packets that name their target.
 #[derive(Debug)]
 pub struct Steering {
@@ -92,6 +80,8 @@
     suspicion: Vec<Suspicion>,
     zone_answers: Vec<Option<Instant>>,
     zone_trials: Vec<Option<Instant>>,
+    /// By service and availability zone.
+    answer_times: HashMap<(ServiceKey, ZoneId), AnswerTimes>,
     complete: bool,
     viewed_at: Option<Instant>,
     observations: Vec<Observation>,
@@ -114,6 +104,7 @@
             suspicion: Vec::new(),
             zone_answers: Vec::new(),
             zone_trials: Vec::new(),
+            answer_times: HashMap::new(),
             complete: false,
             viewed_at: None,
             observations: Vec::new(),
@@ -363,22 +354,6 @@
         Verdict::Place { target, inputs }
     }
 
-    /// Returns whether a target that answers has little enough to do. Where no
-    /// target is trusted there is nothing to wait for.
-    fn has_room(&self, now: Instant, service: ServiceKey) -> bool {
-        let mut trusted = false;
-        for (key, entry) in self.directory.takers(service) {
-            if self.trust(now, key) == Trust::Trusted {
-                trusted = true;
-                let most = self.options.room_per_slot * entry.slots as f32;
-                if (self.work(key).in_flight as f32) < most {
-                    return true;
-                }
-            }
-        }
-        !trusted
-    }
-
     fn without_route(&self, now: Instant) -> Verdict {
         if self.has_fresh_view(now) {
             Verdict::Reset(ResetReason::NoRoute)
@@ -392,99 +367,6 @@
         self.is_ready() && age.is_some_and(|age| age <= self.options.fresh_view)
     }
 
-    fn place(
-        &mut self,
-        now: Instant,
-        service: ServiceKey,
-        avoid: Option<TargetKey>,
-    ) -> Option<(TargetKey, OpeningInputs)> {
-        let mut inputs = OpeningInputs::default();
-        let mut best_trust = Trust::Suspected;
-        let silent = self.silent_zones(0);
-        for (key, entry) in self.directory.takers(service) {
-            inputs.candidates += 1;
-            let trust = self.trust_in(now, key, entry, silent);
-            inputs.trusted += u32::from(trust == Trust::Trusted);
-            if Some(key) != avoid {
-                best_trust = best_trust.min(trust);
-            }
-        }
-        let mut draw = Pcg64Mcg::seed_from_u64(self.rng.next_u64());
-        let chosen = self.trial(now, service, avoid, silent).or_else(|| {
-            let takers = self.directory.takers(service).filter(|&(key, entry)| {
-                Some(key) != avoid && self.trust_in(now, key, entry, silent) <= best_trust
-            });
-            let candidates = takers.map(|(key, entry)| self.candidate(now, key, entry));
-            choose(candidates, &mut draw)
-        });
-        let chosen = chosen.or_else(|| {
-            let key = avoid?;
-            let entry = self.directory.target(key)?;
-            let takes = entry.takes_openings();
-            takes.then(|| self.candidate(now, key, entry))
-        })?;
-        inputs.score = chosen.score;
-        inputs.in_flight = self.work(chosen.target).in_flight as f32;
-        Some((chosen.target, inputs))
-    }
-
-    /// Picks a target that was suspected and may be tried with one flow.
-    fn trial(
-        &mut self,
-        now: Instant,
-        service: ServiceKey,
-        avoid: Option<TargetKey>,
-        silent: ZoneSet,
-    ) -> Option<Candidate> {
-        if avoid.is_some() {
-            return None;
-        }
-        let mut takers = self.directory.takers(service);
-        let (key, entry) = takers.find(|&(key, entry)| {
-            self.trust(now, key) == Trust::OnTrial && self.may_try(now, entry, silent)
-        })?;
-        let (zone, candidate) = (entry.zone, self.candidate(now, key, entry));
-        if silent.contains(zone) {
-            self.zone_trials[usize::from(zone.0)] = Some(now);
-        }
-        self.suspicion[key.0 as usize].begin_trial(now, self.options.suspicion_hold);
-        Some(candidate)
-    }
-
-    /// Returns whether a target on trial may get a flow now: a silent
-    /// availability zone is tried through one target at a time.
-    fn may_try(&self, now: Instant, entry: &TargetEntry, silent: ZoneSet) -> bool {
-        let tried = self.zone_trials[usize::from(entry.zone.0)];
-        let recently = tried.is_some_and(|at| now.since(at) < self.options.suspicion_hold);
-        !(silent.contains(entry.zone) && recently)
-    }
-
-    fn candidate(&self, now: Instant, target: TargetKey, entry: &TargetEntry) -> Candidate {
-        Candidate {
-            target,
-            score: self.score(now, target, entry),
-        }
-    }
-
-    fn score(&self, now: Instant, key: TargetKey, entry: &TargetEntry) -> f32 {
-        let o = &self.options;
-        let work = self.work(key);
-        let load = work.in_flight as f32
-            + o.flow_weight * work.open as f32
-            + o.rate_weight * work.recent(now);
-        let slowness = if now < entry.warm_at {
-            o.warmup_factor
-        } else {
-            1.0
-        };
-        let away = if entry.zone == self.zone {
-            0.0
-        } else {
-            o.zone_weight
-        };
-        (load * slowness + away) / entry.slots as f32
-    }
-
     fn later(&mut self, now: Instant, segment: &Segment) -> Verdict {
         let Some(flow) = self.flows.get_mut(&segment.flow) else {
             return self.adopt(now, segment);
@@ -551,19 +433,26 @@
 
     fn note(&mut self, now: Instant, flow: &FlowState, progress: Progress) {
         let at = flow.target.0 as usize;
-        if progress.answered {
-            self.answered(now, flow.target);
+        if let Some(at) = progress.answered {
+            self.answered(at, flow.target);
         }
-        let work = &mut self.work[at];
         if let Some(took) = progress.opening_took {
             self.observations
                 .push(Observation::OpeningAnswered { took });
         }
         if let Some(took) = progress.request_took {
             self.counters.answered += 1;
+            if let Some(entry) = self.directory.target(flow.target) {
+                let key = (entry.service, entry.zone);
+                self.answer_times
+                    .entry(key)
+                    .or_default()
+                    .answered(now, took);
+            }
             self.observations
                 .push(Observation::RequestAnswered { took });
         }
+        let work = &mut self.work[at];
         if progress.request_ended {
             work.request_ended();
         }
@@ -579,141 +468,6 @@
         }
     }
 
-    fn answered(&mut self, now: Instant, target: TargetKey) {
-        if let Some(entry) = self.directory.target(target) {
-            let zone = usize::from(entry.zone.0);
-            self.zone_answers[zone] = Some(now);
-        }
-        if self.suspicion[target.0 as usize].answered(now) {
-            self.counters.cleared += 1;
-            self.observations.push(Observation::Cleared { target });
-        }
-    }
-
-    fn strike(&mut self, now: Instant, target: TargetKey, sent: Instant) {
-        if now.since(sent) < self.options.strike_after {
-            return;
-        }
-        let suspicion = &mut self.suspicion[target.0 as usize];
-        if suspicion.strike(now, sent, &self.options) {
-            self.counters.suspected += 1;
-            let silent = now.since(sent);
-            self.observations
-                .push(Observation::Suspected { target, silent });
-        }
-    }
-
-    /// Returns how far a target is trusted, its availability zone included.
-    fn trust_in(
-        &self,
-        now: Instant,
-        key: TargetKey,
-        entry: &TargetEntry,
-        silent: ZoneSet,
-    ) -> Trust {
-        if silent.contains(entry.zone) {
-            return Trust::Suspected;
-        }
-        self.trust(now, key)
-    }
-
-    /// Returns the availability zones that seem cut off: several of a zone's
-    /// targets left unanswered what was sent after the zone's last answer, and
-    /// other zones have answered since. At least `strikes` unanswered packets
-    /// are wanted.
-    fn silent_zones(&self, strikes: u32) -> ZoneSet {
-        if self.suspicion.iter().all(|s| s.strikes() == 0) {
-            return ZoneSet::default();
-        }
-        let mut silences = [ZoneSilence::default(); ZoneSet::MOST];
-        for (key, entry) in self.directory.targets() {
-            let suspicion = &self.suspicion[key.0 as usize];
-            if let Some(since) = suspicion.unanswered_since()
-                && !self.has_answered(entry.zone, since)
-                && let Some(silence) = silences.get_mut(usize::from(entry.zone.0))
-            {
-                silence.add(since, suspicion.strikes());
-            }
-        }
-        let mut set = ZoneSet::default();
-        for (zone, silence) in silences.iter().enumerate() {
-            let Some(since) = silence.since else {
-                continue;
-            };
-            let zone = ZoneId(zone as u16);
-            if silence.targets >= self.options.zone_targets
-                && silence.strikes >= strikes
-                && self.has_answered_elsewhere(zone, since)
-            {
-                set.insert(zone);
-            }
-        }
-        set
-    }
-
-    fn has_answered(&self, zone: ZoneId, since: Instant) -> bool {
-        let answer = self.zone_answers.get(usize::from(zone.0)).copied();
-        answer.flatten().is_some_and(|at| at > since)
-    }
-
-    fn has_answered_elsewhere(&self, zone: ZoneId, since: Instant) -> bool {
-        let zones = (0..self.zone_answers.len()).map(|at| ZoneId(at as u16));
-        zones
-            .filter(|&other| other != zone)
-            .any(|other| self.has_answered(other, since))
-    }
-
-    /// Returns whether a target must be gone or out of reach: several packets
-    /// to it, or to its availability zone, went unanswered while others were
-    /// answered.
-    ///
-    /// One lost packet looks the same as a target that is gone; the number of
-    /// strikes makes a mistake as rare as that many losses in a row. A silent
-    /// zone speaks against a target only together with strikes of its own:
-    /// when two of a zone's three targets die, the third may not have been
-    /// asked since.
-    fn is_certainly_silent(&self, now: Instant, target: TargetKey) -> bool {
-        let certain = self.options.certain_strikes;
-        let suspicion = &self.suspicion[target.0 as usize];
-        let Some(entry) = self.directory.target(target) else {
-            return false;
-        };
-        let proof = suspicion.proof(now, &self.options);
-        let alone = proof >= certain
-            && suspicion.silent_since().is_some_and(|since| {
-                self.has_answered_elsewhere(entry.zone, since)
-                    || self.has_answered(entry.zone, since)
-            });
-        let in_silent_zone = proof >= self.options.zone_certain_strikes
-            && self
-                .silent_zones(self.options.zone_proof_strikes)
-                .contains(entry.zone);
-        alone || in_silent_zone
-    }
-
-    /// Decides whether a flow is to be reset, so that its caller can open
-    /// another one in time.
-    ///
-    /// That serves the caller only where the request may run again, and is
-    /// allowed only where the target must be gone or out of reach.
-    fn give_up(&self, now: Instant, flow: &FlowState, progress: &Progress) -> Option<ResetReason> {
-        let waits = flow.request_since.is_some() && !progress.answered && !progress.closed;
-        if !waits {
-            return None;
-        }
-        let entry = self.directory.target(flow.target)?;
-        let departed = matches!(entry.presence, Presence::Departed { .. });
-        let repeats = progress.repeated.is_some();
-        if departed && repeats && self.has_fresh_view(now) {
-            let proof = self.suspicion[flow.target.0 as usize].proof(now, &self.options);
-            let gone = proof >= self.options.departed_strikes;
-            return gone.then_some(ResetReason::TargetGone);
-        }
-        let may_repeat = flow.kind != WorkKind::AtMostOnce;
-        let silent = may_repeat && self.is_certainly_silent(now, flow.target);
-        silent.then_some(ResetReason::TargetSilent)
-    }
-
     fn count(&mut self, verdict: &Verdict) {
         let c = &mut self.counters;
         match verdict {
--- a/crates/cicadaweir-core/src/steer/suspicion.rs
+++ b/crates/cicadaweir-core/src/steer/suspicion.rs
@@ -61,11 +61,17 @@
         !before
     }
 
-    /// Notes an answer. Returns whether the target was suspected until now.
-    pub fn answered(&mut self, now: Instant) -> bool {
+    /// Notes an answer to something that was sent at `at`. Returns whether the
+    /// target was suspected until now; an answer to what was sent before the
+    /// last thing that went unanswered says nothing about that.
+    pub fn answered(&mut self, at: Instant) -> bool {
         let was = self.strikes > 0;
+        if was && at < self.last_sent {
+            return false;
+        }
+        let last_answer = self.last_answer.map_or(at, |known| known.max(at));
         *self = Self {
-            last_answer: Some(now),
+            last_answer: Some(last_answer),
             ..Self::default()
         };
         was
@@ -111,7 +117,7 @@
         if fresh { self.proof } else { 0 }
     }
 
-    /// Returns when it answered last.
+    /// Returns when the latest thing was sent that it has answered.
     pub const fn last_answer(&self) -> Option<Instant> {
         self.last_answer
     }
--- a/crates/cicadaweir-core/tests/steer/main.rs
+++ b/crates/cicadaweir-core/tests/steer/main.rs
@@ -1,5 +1,6 @@
 //! Steering by cookie.
 
+mod affinity;
 mod directory;
 mod flows;
 mod openings;
--- a/crates/cicadaweir-core/tests/steer/suspicion.rs
+++ b/crates/cicadaweir-core/tests/steer/suspicion.rs
@@ -2,12 +2,12 @@
 
 use cicadaweir_core::{
     prelude::*,
-    steer::{Change, ResetReason, Steering, Trust, Verdict},
+    steer::{Change, Options, ResetReason, Steering, Trust, Verdict},
 };
 
 use crate::world::{
-    BOARD, BOOKING, acknowledgement, chosen, close, cookie, data, entry_vm, flow, ms, open,
-    open_at, opening,
+    BOARD, BOOKING, acknowledgement, chosen, close, cookie, data, entry_vm, entry_vm_with, flow,
+    ms, open, open_at, opening, roomy,
 };
 
 fn trust(vm: &Steering, now: Instant, n: u64) -> Trust {
@@ -101,6 +101,51 @@
     }
 }
 
+// Replays compas-quito trouble-1: while a zone was cut off, each entry VM
+// lost a caller's opening there every 1.5 s, though its own zone had room.
+#[test]
+fn a_suspected_target_far_away_is_not_tried_while_near_ones_have_room() {
+    let options = Options {
+        own_share: Options::default().own_share,
+        ..roomy()
+    };
+    let mut vm = entry_vm_with(6, options);
+    let mut other = 2;
+    let far = loop {
+        let n = open(&mut vm, ms(0), flow(other, BOARD));
+        if n % 3 != 1 {
+            break n;
+        }
+        other += 1;
+    };
+    for at in [10, 210] {
+        vm.packet(ms(at), &data(flow(other, BOARD), cookie(far), 101, 1_000));
+    }
+    assert_eq!(trust(&vm, ms(1_800), far), Trust::OnTrial);
+    let tried = (10..12).filter(|&caller| {
+        let verdict = vm.packet(ms(1_800), &opening(flow(caller, BOARD), 0));
+        chosen(&vm, verdict) == far
+    });
+    assert_eq!(tried.count(), 0);
+}
+
+// Replays compas-quito trouble-1: a flow passed another entry VM for a while
+// and came back with acknowledgements that it had made there.
+#[test]
+fn an_answer_from_before_a_flow_came_back_clears_nobody() {
+    let mut vm = entry_vm(6);
+    let wanderer = open_at(&mut vm, ms(0), BOARD, 2, 100);
+    let key = open_at(&mut vm, ms(0), BOARD, 2, 5_000);
+    vm.packet(ms(3_000), &data(key, cookie(2), 101, 1_000));
+    vm.packet(ms(3_200), &data(key, cookie(2), 101, 1_000));
+    assert_eq!(trust(&vm, ms(3_200), 2), Trust::Suspected);
+    vm.packet(ms(3_300), &acknowledgement(wanderer, cookie(2), 9_000));
+    assert_eq!(trust(&vm, ms(3_300), 2), Trust::Suspected);
+    vm.packet(ms(3_310), &data(wanderer, cookie(2), 500, 9_000));
+    vm.packet(ms(3_340), &acknowledgement(wanderer, cookie(2), 10_000));
+    assert_eq!(trust(&vm, ms(3_340), 2), Trust::Trusted);
+}
+
 // Found on maonyesho-lb, trouble-2: two of a zone's three targets died, and a
 // flow of the third was reset on its first packet after a pause.
 #[test]
--- a/crates/cicadaweir-core/tests/steer/world.rs
+++ b/crates/cicadaweir-core/tests/steer/world.rs
@@ -75,10 +75,12 @@
 }
 
 /// Options without a bound on room, so that tests can place many flows at
-/// one moment.
+/// one moment, and with little preference for the own zone, so that all zones
+/// get flows.
 pub fn roomy() -> Options {
     Options {
         room_per_slot: f32::INFINITY,
+        own_share: 0.0,
         ..Options::default()
     }
 }
