perf: let one seed watch the store, and take up other seeds on a reload

Change: the seeds have one order by address; each watches the first before it that answers, and goes to the store the moment that none does. A source that is only tried again and fails takes nobody's view away. Seeds in the settings are followed without a restart. Signals are taken from the start of main: one that came before the loop stood ended the process.

Ruled out: a longer wait of the watch, as a seed that is cut off from the store has to notice it within the 3 s of a change.

--- a/crates/cicadaweir-core/src/mirror.rs
+++ b/crates/cicadaweir-core/src/mirror.rs
@@ -22,7 +22,7 @@
 
 pub use log::{Log, Unknown};
 pub use options::Options;
-pub use sources::{Choice, Source, Sources};
+pub use sources::{Choice, Role, Source, Sources};
 pub use update::{Answer, Call, Item, Update};
 
 /// What the mirror is doing.
--- a/crates/cicadaweir-core/src/mirror/sources.rs
+++ b/crates/cicadaweir-core/src/mirror/sources.rs
@@ -1,10 +1,12 @@
 //! Whom to ask for the store's state.
 //!
 //! Load pattern: a change in the store wakes every waiting watch, and each is
-//! a call that the store counts. Only the seeds watch the store; all other
-//! entry VMs watch a seed. They go to the store themselves, after a while
-//! that differs between them, when no seed helps: otherwise a fleet would
-//! fall on the store at the very moment at which it is in trouble.
+//! a call that the store counts. Only one seed watches the store; the others
+//! watch a seed before them in a fixed order, and go to the store the moment
+//! that none of these helps. All other entry VMs watch a seed. They go to the
+//! store themselves, after a while that differs between them, when no seed
+//! helps: otherwise a fleet would fall on the store at the very moment at
+//! which it is in trouble.
 
 use crate::time::{Duration, Instant};
 
@@ -25,6 +27,19 @@
 /// time to be in force within 3 s.
 const PATIENCE: Duration = Duration::from_millis(600);
 
+/// What an entry VM does for the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// It watches the store, unless one of the first peers does.
+    Seed {
+        /// How many peers come before it. The order is the same everywhere,
+        /// so that no two seeds wait for each other.
+        leaders: usize,
+    },
+    /// It watches a seed.
+    Follower,
+}
+
 /// One place to ask.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
@@ -68,7 +83,7 @@
 /// Chooses among the store and the peers.
 #[derive(Debug)]
 pub struct Sources {
-    reads_store: bool,
+    role: Role,
     peers: Vec<Rest>,
     first: usize,
     store: Rest,
@@ -78,13 +93,12 @@
 }
 
 impl Sources {
-    /// Makes the choice for an entry VM with a number of peers to ask.
-    /// `reads_store` tells whether it watches the store for the others, and
-    /// `draw` spreads the entry VMs over the peers and over time.
-    pub fn new(reads_store: bool, peers: usize, draw: u64) -> Self {
+    /// Makes the choice for an entry VM with a number of peers to ask. `draw`
+    /// spreads the entry VMs over the peers and over time.
+    pub fn new(role: Role, peers: usize, draw: u64) -> Self {
         let more = (draw >> 32) % PATIENCE.as_micros();
         Self {
-            reads_store,
+            role,
             peers: vec![Rest::default(); peers],
             first: draw as usize % peers.max(1),
             store: Rest::default(),
@@ -107,11 +121,12 @@
     /// small.
     pub fn choose(&mut self, now: Instant, bulk: bool) -> Choice {
         let store = self.store.is_over(now);
-        let from_store = self.reads_store || bulk || self.catches_up;
-        if from_store && store {
+        let leader = self.leader(now);
+        let watches_store = matches!(self.role, Role::Seed { .. }) && leader.is_none();
+        if store && (watches_store || bulk || self.catches_up) {
             return Choice::Ask(Source::Store);
         }
-        if let Some(peer) = self.peer(now) {
+        if let Some(peer) = leader.or_else(|| self.peer(now)) {
             return Choice::Ask(Source::Peer(peer));
         }
         let alone = *self.alone_since.get_or_insert(now);
@@ -135,7 +150,7 @@
         }
         match (source, served) {
             (Source::Store, true) => self.store = Rest::default(),
-            (Source::Store, false) if self.reads_store => {
+            (Source::Store, false) if matches!(self.role, Role::Seed { .. }) => {
                 self.store.fail(now, STORE_REST, STORE_REST);
             }
             (Source::Store, false) => self.store.fail(now, STORE_REST, LONGEST_STORE_REST),
@@ -147,6 +162,14 @@
         }
     }
 
+    fn leader(&self, now: Instant) -> Option<usize> {
+        let Role::Seed { leaders } = self.role else {
+            return None;
+        };
+        let mut leaders = 0..leaders.min(self.peers.len());
+        leaders.find(|&at| self.peers[at].is_over(now))
+    }
+
     fn peer(&self, now: Instant) -> Option<usize> {
         let count = self.peers.len();
         let mut order = (0..count).map(|at| (self.first + at) % count);
--- a/crates/cicadaweird/src/main.rs
+++ b/crates/cicadaweird/src/main.rs
@@ -1,6 +1,9 @@
 //! The daemon's program: arguments, settings, signals, then the loop.
 
-use std::{io::Write, process::ExitCode};
+use std::{
+    io::{self, Write},
+    process::ExitCode,
+};
 
 use bpaf::Bpaf;
 use cicadaweird::{
@@ -43,15 +46,7 @@
         );
         return ExitCode::SUCCESS;
     }
-    let ended = match settings {
-        Carrier::Geneve(settings) => {
-            daemon::run(*settings, |inbox| signals::watch(inbox, geneve_input))
-        }
-        Carrier::Cookie(settings) => steered::run(*settings, &arguments.settings, |inbox| {
-            signals::watch(inbox, steered_input);
-        }),
-    };
-    match ended {
+    match run(settings, &arguments.settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             error!("{err}");
@@ -60,6 +55,18 @@
     }
 }
 
+fn run(settings: Carrier, path: &str) -> io::Result<()> {
+    let signals = signals::Watch::begin()?;
+    match settings {
+        Carrier::Geneve(settings) => {
+            daemon::run(*settings, |inbox| signals.forward(inbox, geneve_input))
+        }
+        Carrier::Cookie(settings) => steered::run(*settings, path, |inbox| {
+            signals.forward(inbox, steered_input);
+        }),
+    }
+}
+
 /// Returns the input of the Geneve loop for a signal.
 fn geneve_input(asked: Asked) -> Option<inbox::Input> {
     match asked {
--- a/crates/cicadaweird/src/signals.rs
+++ b/crates/cicadaweird/src/signals.rs
@@ -1,8 +1,7 @@
 //! Signals as inputs of a loop.
 
-use std::thread;
+use std::{io, thread};
 
-use log::error;
 use signal_hook::{
     consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals,
@@ -21,27 +20,40 @@
     Abort,
 }
 
-/// Sends an input of a loop for each signal; `input` returns none for what
-/// the loop doesn't take.
-pub fn watch<T: Send + 'static>(
-    inbox: Inbox<T>,
-    input: impl Fn(Asked) -> Option<T> + Send + 'static,
-) {
-    let Ok(mut signals) = Signals::new([SIGTERM, SIGINT, SIGHUP]) else {
-        return error!("signals can't be watched");
-    };
-    thread::spawn(move || {
-        let mut stopping = false;
-        for signal in signals.forever() {
-            let asked = match signal {
-                SIGHUP => Asked::Reload,
-                _ if stopping => Asked::Abort,
-                _ => Asked::Stop,
-            };
-            stopping |= asked == Asked::Stop;
-            if !input(asked).is_none_or(|input| inbox.send(input)) {
-                return;
+/// The signals that a daemon acts on, from the moment at which this is made.
+#[derive(Debug)]
+pub struct Watch(Signals);
+
+impl Watch {
+    /// Begins to take signals; before this, SIGHUP ends the process.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error if the handlers can't be set.
+    pub fn begin() -> io::Result<Self> {
+        Signals::new([SIGTERM, SIGINT, SIGHUP]).map(Self)
+    }
+
+    /// Sends an input of a loop for each signal, those taken meanwhile among
+    /// them; `input` returns none for what the loop doesn't take.
+    pub fn forward<T: Send + 'static>(
+        mut self,
+        inbox: Inbox<T>,
+        input: impl Fn(Asked) -> Option<T> + Send + 'static,
+    ) {
+        thread::spawn(move || {
+            let mut stopping = false;
+            for signal in self.0.forever() {
+                let asked = match signal {
+                    SIGHUP => Asked::Reload,
+                    _ if stopping => Asked::Abort,
+                    _ => Asked::Stop,
+                };
+                stopping |= asked == Asked::Stop;
+                if !input(asked).is_none_or(|input| inbox.send(input)) {
+                    return;
+                }
             }
-        }
-    });
+        });
+    }
 }
--- a/crates/cicadaweird/src/steered.rs
+++ b/crates/cicadaweird/src/steered.rs
@@ -20,10 +20,12 @@
 mod follow;
 mod meters;
 mod run;
+mod seeds;
 
-pub use client::{FeedAnswer, FeedClient, StoreClient, StoreError};
+pub use client::{FeedAnswer, FeedClient, FeedWatch, StoreClient, StoreError};
 pub use engine::Engine;
 pub use feed::Feed;
 pub use follow::{Follower, News};
 pub use meters::Meters;
 pub use run::{Inbox, Input, run};
+pub use seeds::Seeds;
--- a/crates/cicadaweird/src/steered/client.rs
+++ b/crates/cicadaweird/src/steered/client.rs
@@ -76,6 +76,17 @@
     zone: String,
 }
 
+/// What is asked of another entry VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FeedWatch {
+    /// The revision after which changes are wanted.
+    pub after: u64,
+    /// How long the other may wait.
+    pub wait: Duration,
+    /// Whether a seed asks, which tells many others.
+    pub is_seed: bool,
+}
+
 impl FeedClient {
     /// Makes a client for the entry VM in the named availability zone whose own
     /// feed is at `own`.
@@ -112,17 +123,16 @@
     /// # Errors
     ///
     /// [`StoreError`] if it did not answer, or knows nothing recent.
-    pub fn after(
-        &self,
-        peer: SocketAddr,
-        revision: u64,
-        wait: Duration,
-    ) -> Result<FeedAnswer, StoreError> {
-        let (wait_ms, own, zone) = (wait.as_millis(), self.own, escape(&self.zone));
-        let url = format!(
+    pub fn after(&self, peer: SocketAddr, watch: FeedWatch) -> Result<FeedAnswer, StoreError> {
+        let (revision, wait_ms) = (watch.after, watch.wait.as_millis());
+        let (own, zone) = (self.own, escape(&self.zone));
+        let mut url = format!(
             "http://{peer}{AFTER_PATH}?revision={revision}&wait_ms={wait_ms}&from={own}&zone={zone}"
         );
-        let body = match self.feed(&url, wait + WATCH_SLACK) {
+        if watch.is_seed {
+            url.push_str("&seed=1");
+        }
+        let body = match self.feed(&url, watch.wait + WATCH_SLACK) {
             Err(StoreError::Status(410)) => {
                 return Ok(FeedAnswer {
                     answer: Answer::Compacted,
--- a/crates/cicadaweird/src/steered/engine.rs
+++ b/crates/cicadaweird/src/steered/engine.rs
@@ -29,7 +29,7 @@
     stopping::Stopping,
 };
 
-use super::{Meters, News};
+use super::{Meters, News, Seeds};
 
 /// How often the settings file is looked at without a signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
@@ -41,6 +41,7 @@
 #[derive(Debug)]
 pub struct Engine {
     settings: CookieSettings,
+    seeds: Seeds,
     path: String,
     steering: Steering,
     meters: Arc<Meters>,
@@ -75,6 +76,7 @@
         Self {
             steering: Steering::new(options, &settings.member.zone, seed),
             budget: Budget::new(settings.limits.log_lines, clock),
+            seeds: Seeds::new(settings.listen.peer, &settings.seeds),
             settings,
             path,
             meters: Arc::default(),
@@ -98,6 +100,11 @@
         &self.settings
     }
 
+    /// Returns the seeds, as they change with the settings.
+    pub fn seeds(&self) -> Seeds {
+        self.seeds.clone()
+    }
+
     /// Returns the metrics.
     pub fn meters(&self) -> Arc<Meters> {
         Arc::clone(&self.meters)
@@ -268,6 +275,7 @@
             info!("reloaded");
         }
         self.budget = Budget::new(settings.limits.log_lines, self.clock);
+        self.seeds.set(&settings.seeds);
         self.settings = settings;
     }
 
--- a/crates/cicadaweird/src/steered/feed.rs
+++ b/crates/cicadaweird/src/steered/feed.rs
@@ -167,7 +167,9 @@
                 let wait = Duration::from_millis(wait.unwrap_or(0)).min(LONGEST_WAIT);
                 let from = argument("from").and_then(|text| text.parse().ok());
                 let zone = argument("zone").unwrap_or_default();
-                let instead = from.and_then(|from| state.follow(from, &zone, &self.zone, now));
+                let is_seed = argument("seed").is_some();
+                let instead = from.filter(|_| !is_seed);
+                let instead = instead.and_then(|from| state.follow(from, &zone, &self.zone, now));
                 if let Some(instead) = instead {
                     drop(state);
                     return respond(req, redirect(instead));
--- a/crates/cicadaweird/src/steered/follow.rs
+++ b/crates/cicadaweird/src/steered/follow.rs
@@ -8,14 +8,16 @@
 };
 
 use cicadaweir_core::{
-    mirror::{Answer, Call, Choice, Mirror, Options, Source, Sources, Update},
+    mirror::{Answer, Call, Choice, Mirror, Options, Role, Source, Sources, Update},
     steer::Change,
     time,
 };
 use cicadaweir_platform::records::{self, ROUTES_KEY, TARGETS_PREFIX};
 use log::{debug, info, warn};
 
-use super::{Feed, FeedAnswer, FeedClient, Inbox, Input, Meters, StoreClient, StoreError};
+use super::{
+    Feed, FeedAnswer, FeedClient, FeedWatch, Inbox, Input, Meters, Seeds, StoreClient, StoreError,
+};
 
 /// Everything in the store is followed by one watch.
 const PREFIX: &str = "";
@@ -59,7 +61,7 @@
     /// Where this entry VM tells what it knows.
     pub feed: Arc<Feed>,
     /// The entry VMs that watch the store for the others.
-    pub seeds: Vec<SocketAddr>,
+    pub seeds: Seeds,
     /// This entry VM's own address among them.
     pub own: SocketAddr,
     /// Differs between daemons.
@@ -76,25 +78,64 @@
     at: Instant,
 }
 
+/// Whom a follower asks at present.
+struct Places {
+    /// The seeds that were configured.
+    seeds: Vec<SocketAddr>,
+    role: Role,
+    /// For each seed, whom it has named instead of itself.
+    peers: Vec<SocketAddr>,
+    sources: Sources,
+    /// Who answered last, until it fails.
+    current: Option<Source>,
+}
+
+impl Places {
+    fn new((seeds, role): (Vec<SocketAddr>, Role), draw: u64) -> Self {
+        Self {
+            sources: Sources::new(role, seeds.len(), draw),
+            peers: seeds.clone(),
+            seeds,
+            role,
+            current: None,
+        }
+    }
+
+    /// Notes what came of a call. Returns whether nothing is heard any more:
+    /// not if a source that is only tried again has failed again.
+    fn report(&mut self, now: time::Instant, source: Source, served: bool) -> bool {
+        self.sources.report(now, source, served);
+        if served {
+            self.current = Some(source);
+            return false;
+        }
+        if let Source::Peer(at) = source {
+            self.peers[at] = self.seeds[at];
+        }
+        let only_tried = self.current.is_some_and(|current| current != source);
+        if !only_tried {
+            self.current = None;
+        }
+        !only_tried
+    }
+
+    fn matches(&self, (seeds, role): &(Vec<SocketAddr>, Role)) -> bool {
+        self.seeds == *seeds && self.role == *role
+    }
+}
+
 impl Follower {
     /// Follows the store until the loop has ended.
     pub fn run(&self) {
         let start = Instant::now();
         let now = || time::Instant::from_micros(start.elapsed().as_micros() as u64);
-        let reads_store = self.seeds.contains(&self.own);
-        let seeds: Vec<_> = self
-            .seeds
-            .iter()
-            .copied()
-            .filter(|s| *s != self.own)
-            .collect();
-        let mut peers = seeds.clone();
-        let mut sources = Sources::new(reads_store, peers.len(), self.seed);
+        let mut places = Places::new(self.seeds.peers(), self.seed);
         let mut mirror = Mirror::new(Options::default(), self.seed);
         let mut updates = Vec::new();
         let mut dependencies = Dependencies::default();
         let mut last_news: Option<Instant> = None;
         loop {
+            self.take_up_seeds(&mut places);
             let call = mirror.next_call(now());
             if let Call::Pause(span) = call {
                 thread::sleep(Duration::from_micros(span.as_micros()));
@@ -102,46 +143,38 @@
                 continue;
             }
             let bulk = matches!(call, Call::Range { .. });
-            let source = match sources.choose(now(), bulk) {
+            let source = match places.sources.choose(now(), bulk) {
                 Choice::Ask(source) => source,
                 Choice::Wait(span) => {
                     thread::sleep(Duration::from_micros(span.as_micros()));
                     continue;
                 }
             };
-            let apart = match source {
-                Source::Store => WATCHES_APART,
-                Source::Peer(_) => PEER_WATCHES_APART,
-            };
             if let Some(at) = last_news {
-                thread::sleep(apart.saturating_sub(at.elapsed()));
+                thread::sleep(apart(source).saturating_sub(at.elapsed()));
             }
             let asked = Instant::now();
-            let result = self.ask(source, &mut peers, &call);
+            let result = self.ask(source, &mut places, &call);
             let answer = result
                 .as_ref()
                 .map_or(&Answer::Failed, |heard| &heard.answer);
             self.meters.call(source, &call, answer, asked.elapsed());
-            sources.report(now(), source, result.is_ok());
+            let is_lost = places.report(now(), source, result.is_ok());
             dependencies.note(source, result.as_ref().err(), mirror.revision());
-            let heard = match result {
-                Ok(heard) => heard,
-                Err(_) => {
-                    if let Source::Peer(at) = source {
-                        peers[at] = seeds[at];
-                    }
-                    if source == Source::Store && !sources.has_peer(now()) {
-                        mirror.answer(now(), Answer::Failed, &mut updates);
-                    }
+            let Ok(heard) = result else {
+                if source == Source::Store && !places.sources.has_peer(now()) {
+                    mirror.answer(now(), Answer::Failed, &mut updates);
+                }
+                if is_lost {
                     self.feed.lost();
-                    continue;
                 }
+                continue;
             };
             let from_peer = matches!(source, Source::Peer(_));
-            if from_peer && heard.answer == Answer::Compacted && sources.catch_up(now()) {
-                continue;
-            }
             if heard.answer == Answer::Compacted {
+                if from_peer && places.sources.catch_up(now()) {
+                    continue;
+                }
                 info!(source:debug, revision = mirror.revision(); "history was dropped, reading all keys");
             }
             if matches!(&heard.answer, Answer::Events { items, .. } if !items.is_empty()) {
@@ -159,15 +192,19 @@
         }
     }
 
-    fn ask(
-        &self,
-        source: Source,
-        peers: &mut [SocketAddr],
-        call: &Call,
-    ) -> Result<Heard, StoreError> {
+    fn take_up_seeds(&self, places: &mut Places) {
+        let current = self.seeds.peers();
+        if !places.matches(&current) {
+            info!(seeds:debug = current.0, role:debug = current.1; "other seeds are followed");
+            *places = Places::new(current, self.seed);
+        }
+    }
+
+    fn ask(&self, source: Source, places: &mut Places, call: &Call) -> Result<Heard, StoreError> {
+        let is_seed = matches!(places.role, Role::Seed { .. });
         match source {
             Source::Store => self.ask_store(call),
-            Source::Peer(at) => self.ask_peer(&mut peers[at], call),
+            Source::Peer(at) => self.ask_peer(&mut places.peers[at], call, is_seed),
         }
     }
 
@@ -186,12 +223,21 @@
         })
     }
 
-    fn ask_peer(&self, peer: &mut SocketAddr, call: &Call) -> Result<Heard, StoreError> {
+    fn ask_peer(
+        &self,
+        peer: &mut SocketAddr,
+        call: &Call,
+        is_seed: bool,
+    ) -> Result<Heard, StoreError> {
         let answer = match call {
             Call::Range { .. } => self.peers.all(*peer)?,
             Call::Watch { after, wait } => {
-                let wait = Duration::from_micros(wait.as_micros());
-                self.watch_peer(peer, *after, wait)?
+                let watch = FeedWatch {
+                    after: *after,
+                    wait: Duration::from_micros(wait.as_micros()),
+                    is_seed,
+                };
+                self.watch_peer(peer, watch)?
             }
             Call::Pause(_) => return Err(StoreError::Unavailable("nothing asked".to_owned())),
         };
@@ -213,11 +259,10 @@
     fn watch_peer(
         &self,
         peer: &mut SocketAddr,
-        after: u64,
-        wait: Duration,
+        watch: FeedWatch,
     ) -> Result<FeedAnswer, StoreError> {
         for _ in 0..MOST_HOPS {
-            let answer = self.peers.after(*peer, after, wait)?;
+            let answer = self.peers.after(*peer, watch)?;
             match answer.instead {
                 None => return Ok(answer),
                 Some(instead) if instead == self.own => break,
@@ -231,6 +276,14 @@
     }
 }
 
+/// Returns the least time between two watches after news.
+const fn apart(source: Source) -> Duration {
+    match source {
+        Source::Store => WATCHES_APART,
+        Source::Peer(_) => PEER_WATCHES_APART,
+    }
+}
+
 /// Which sources failed, for one line a loss and a return.
 #[derive(Debug, Default)]
 struct Dependencies {
--- a/crates/cicadaweird/src/steered/run.rs
+++ b/crates/cicadaweird/src/steered/run.rs
@@ -127,7 +127,7 @@
             store: StoreClient::new(engine.settings().store.address),
             peers: FeedClient::new(listen.peer, &engine.settings().member.zone),
             feed: Feed::start(listen.peer, &engine.settings().member.zone)?,
-            seeds: engine.settings().seeds.clone(),
+            seeds: engine.seeds(),
             own: listen.peer,
             seed: engine.seed(),
             meters,
--- a/crates/cicadaweird/tests/steered/feed.rs
+++ b/crates/cicadaweird/tests/steered/feed.rs
@@ -64,3 +64,49 @@
     site.put_config(9, &[BOARD, 81]);
     site.wait_version(&daemon, 9.0);
 }
+
+// Three seeds that each watched the store made three calls of each change.
+#[test]
+fn one_seed_watches_the_store_and_the_next_takes_over() {
+    let site = Site::start(PROGRAM, 25, 1);
+    let first = site.daemon(1, &[1, 2]);
+    let second = site.daemon(2, &[1, 2]);
+    site.wait_ready(&first);
+    site.wait_ready(&second);
+    for version in 2..12 {
+        site.put_config(version, &[BOARD, 80]);
+        site.wait_version(&second, version as f64);
+    }
+    let line = r#"cicadaweir_store_calls_total{source="store",kind="watch",outcome="ok"}"#;
+    let watches = |daemon| site.metric(daemon, line).unwrap_or_default();
+    assert!(
+        watches(&second) < watches(&first) / 2.0,
+        "{} calls by the second seed, {} by the first",
+        watches(&second),
+        watches(&first)
+    );
+    drop(first);
+    site.put_config(20, &[BOARD, 81]);
+    site.wait_version(&second, 20.0);
+    let first = site.daemon(1, &[1, 2]);
+    site.wait_ready(&first);
+    site.put_config(21, &[BOARD, 82]);
+    site.wait_version(&second, 21.0);
+    site.wait_version(&first, 21.0);
+}
+
+#[test]
+fn other_seeds_in_the_settings_are_taken_up_without_a_restart() {
+    let site = Site::start(PROGRAM, 26, 1);
+    let seed = site.daemon(1, &[1]);
+    site.wait_ready(&seed);
+    let nobody = site.at(249, 1);
+    let follower = site.daemon_with_store(2, &[77], nobody);
+    let feed = |host| site.at(host, 8_166).to_string();
+    follower.wait_line(&["started"]);
+    follower.change_settings(&feed(77), &feed(1));
+    follower.signal("HUP");
+    site.wait_ready(&follower);
+    site.put_config(3, &[BOARD, 81]);
+    site.wait_version(&follower, 3.0);
+}
