perf: let more openings through to queues, and fill no target while others keep up

Change: openings wait only where every trusted target has three requests in flight for each slot from this entry VM; targets with fewer than two go first, in whatever zone.

--- a/crates/cicadaweir-core/src/steer/options.rs
+++ b/crates/cicadaweir-core/src/steer/options.rs
@@ -52,8 +52,11 @@
     /// How long an opening may wait for room at a target.
     pub room_patience: Duration,
     /// Requests in flight from this entry VM at which a target has enough to
-    /// do, for each of its slots.
+    /// do, for each of its slots: openings wait where all targets have. Less
+    /// than a target's slots and its queue together take.
     pub room_per_slot: f32,
+    /// The same at which any other trusted target is taken first.
+    pub busy_per_slot: f32,
     /// What an open flow weighs in a target's score, in requests in flight.
     pub flow_weight: f32,
     /// What a request of the last second weighs, in requests in flight.
@@ -99,7 +102,8 @@
             most_waiting: 1_024,
             view_patience: Duration::from_millis(1_200),
             room_patience: Duration::from_millis(150),
-            room_per_slot: 1.0,
+            room_per_slot: 3.0,
+            busy_per_slot: 2.0,
             flow_weight: 0.15,
             rate_weight: 0.3,
             zone_weight: 0.3,
--- a/crates/cicadaweir-core/src/steer/steering/placing.rs
+++ b/crates/cicadaweir-core/src/steer/steering/placing.rs
@@ -19,12 +19,22 @@
         let mut trusted = takers
             .filter(|&(key, _)| self.trust(now, key) == Trust::Trusted)
             .peekable();
-        trusted.peek().is_none() || trusted.any(|(key, entry)| self.takes_more(key, entry))
+        trusted.peek().is_none()
+            || trusted.any(|(key, entry)| {
+                self.in_flight_per_slot(key, entry) < self.options.room_per_slot
+            })
     }
 
-    fn takes_more(&self, key: TargetKey, entry: &TargetEntry) -> bool {
-        let most = self.options.room_per_slot * entry.slots as f32;
-        (self.work(key).in_flight as f32) < most
+    /// Returns how full a target is: 0 as long as it keeps up, 1 while it
+    /// should get flows only if all others do, 2 if it has enough.
+    fn crowding(&self, key: TargetKey, entry: &TargetEntry) -> u8 {
+        let in_flight = self.in_flight_per_slot(key, entry);
+        let bounds = [self.options.busy_per_slot, self.options.room_per_slot];
+        bounds.iter().filter(|&&most| in_flight >= most).count() as u8
+    }
+
+    fn in_flight_per_slot(&self, key: TargetKey, entry: &TargetEntry) -> f32 {
+        self.work(key).in_flight as f32 / entry.slots as f32
     }
 
     /// Picks a target for an opening, other than `avoid` if possible.
@@ -55,7 +65,7 @@
             let tries = avoid.is_none() && self.may_try(now, key, entry, silent);
             let trust = self.trust_in(now, key, entry, silent);
             let trust = if tries { Trust::Trusted } else { trust };
-            (Some(key) == avoid, trust, !self.takes_more(key, entry))
+            (Some(key) == avoid, trust, self.crowding(key, entry))
         };
         let takers = || self.directory.takers(service);
         let best = takers().map(|(key, entry)| rank(key, entry)).min()?;
--- a/crates/cicadaweir-core/tests/steer/world.rs
+++ b/crates/cicadaweir-core/tests/steer/world.rs
@@ -80,6 +80,7 @@
 pub fn roomy() -> Options {
     Options {
         room_per_slot: f32::INFINITY,
+        busy_per_slot: f32::INFINITY,
         own_share: 0.0,
         ..Options::default()
     }
