fix: nobody who reaches the store waits for peers that hang, or for itself

Cause, found by a new search over the real mirrors, logs and choices of sources (pairs of faults at 32 moments, three seeds and two followers, virtual time): two seeds that stood still were asked in turn again and again, as each was rested by the time the other had hung, and the store never; the same kept followers from the third seed. And with the first seed gone and the second cut off from the store, the second was told by the third and told it in turn, until the age of their view gave them away after 3.2 s. Both leave a change out of force for more than 3 s on an entry VM that reaches the store.

Change: who hears nothing goes to the store, a seed at once, a follower after its patience since the first failure; of several peers the one that failed least is asked; a source that didn't answer last is not waited for; a seed that is told by a later one tells no seed.

After: none of 3,840, and the longest takes under 2.2 s. Four variants fail: patient, mute, unordered, circular.

--- a/crates/cicadaweir-core/src/mirror/sources.rs
+++ b/crates/cicadaweir-core/src/mirror/sources.rs
@@ -90,6 +90,8 @@
     patience: Duration,
     alone_since: Option<Instant>,
     catches_up: bool,
+    /// Who answered last, until it fails.
+    current: Option<Source>,
 }
 
 impl Sources {
@@ -105,6 +107,7 @@
             patience: PATIENCE + Duration::from_micros(more),
             alone_since: None,
             catches_up: false,
+            current: None,
         }
     }
 
@@ -120,10 +123,9 @@
     /// from the store if it can be had, since the links of entry VMs are
     /// small.
     pub fn choose(&mut self, now: Instant, bulk: bool) -> Choice {
-        let store = self.store.is_over(now);
         let leader = self.leader(now);
-        let watches_store = matches!(self.role, Role::Seed { .. }) && leader.is_none();
-        if store && (watches_store || bulk || self.catches_up) {
+        let wants_store = bulk || self.catches_up || self.needs_store(now, leader);
+        if wants_store && self.store.is_over(now) {
             return Choice::Ask(Source::Store);
         }
         if let Some(peer) = leader.or_else(|| self.peer(now)) {
@@ -138,13 +140,43 @@
         Choice::Wait(peers.min().unwrap_or(store_at).min(store_at))
     }
 
+    /// Returns whether the store is to be asked before any peer. Peers that
+    /// hang one after the other must not keep an entry VM from the store that
+    /// it reaches: whoever hears nothing goes there, a seed at once.
+    fn needs_store(&self, now: Instant, leader: Option<usize>) -> bool {
+        let hears_nobody = self.current.is_none();
+        match self.role {
+            Role::Seed { .. } => hears_nobody || leader.is_none(),
+            Role::Follower => {
+                let is_over = |alone| now >= alone + self.patience;
+                hears_nobody && self.alone_since.is_some_and(is_over)
+            }
+        }
+    }
+
     /// Returns whether a peer can be asked.
     pub fn has_peer(&self, now: Instant) -> bool {
         self.peer(now).is_some()
     }
 
-    /// Notes what came of a call.
-    pub fn report(&mut self, now: Instant, source: Source, served: bool) {
+    /// Returns whether a source answered last. One that didn't is not to be
+    /// waited for: it may hang, as others may after it.
+    pub fn is_current(&self, source: Source) -> bool {
+        self.current == Some(source)
+    }
+
+    /// Returns whether other seeds may rely on this entry VM: not while it is
+    /// told by one that comes after it, and that may be told by it.
+    pub fn leads(&self) -> bool {
+        match (self.role, self.current) {
+            (Role::Seed { leaders }, Some(Source::Peer(at))) => at < leaders,
+            (_, current) => current.is_some(),
+        }
+    }
+
+    /// Notes what came of a call. Returns whether nothing is heard any more:
+    /// not if a source that was only tried again has failed again.
+    pub fn report(&mut self, now: Instant, source: Source, served: bool) -> bool {
         if source == Source::Store {
             self.catches_up = false;
         }
@@ -158,21 +190,36 @@
                 self.peers[at] = Rest::default();
                 self.alone_since = None;
             }
-            (Source::Peer(at), false) => self.peers[at].fail(now, PEER_REST, LONGEST_PEER_REST),
+            (Source::Peer(at), false) => {
+                self.peers[at].fail(now, PEER_REST, LONGEST_PEER_REST);
+                self.alone_since.get_or_insert(now);
+            }
         }
+        let only_tried = self.current.is_some_and(|current| current != source);
+        if served {
+            self.current = Some(source);
+        } else if !only_tried {
+            self.current = None;
+        }
+        !served && !only_tried
     }
 
     fn leader(&self, now: Instant) -> Option<usize> {
         let Role::Seed { leaders } = self.role else {
             return None;
         };
-        let mut leaders = 0..leaders.min(self.peers.len());
-        leaders.find(|&at| self.peers[at].is_over(now))
+        self.least_failed(now, 0..leaders.min(self.peers.len()))
     }
 
     fn peer(&self, now: Instant) -> Option<usize> {
         let count = self.peers.len();
-        let mut order = (0..count).map(|at| (self.first + at) % count);
-        order.find(|&at| self.peers[at].is_over(now))
+        self.least_failed(now, (0..count).map(|at| (self.first + at) % count))
+    }
+
+    /// Returns the peer of those that can be asked which failed least often
+    /// in a row, the first among equals.
+    fn least_failed(&self, now: Instant, peers: impl Iterator<Item = usize>) -> Option<usize> {
+        let rested = peers.filter(|&at| self.peers[at].is_over(now));
+        rested.min_by_key(|&at| self.peers[at].failures)
     }
 }
--- a/crates/cicadaweir-core/tests/mirror/main.rs
+++ b/crates/cicadaweir-core/tests/mirror/main.rs
@@ -2,4 +2,5 @@
 
 mod copy;
 mod log;
+mod reach;
 mod sources;
--- a/crates/cicadaweir-core/tests/mirror/sources.rs
+++ b/crates/cicadaweir-core/tests/mirror/sources.rs
@@ -27,10 +27,15 @@
 fn a_seed_watches_the_seeds_before_it_and_the_store_when_they_fail() {
     let mut sources = Sources::new(Role::Seed { leaders: 2 }, 2, 1);
     assert_eq!(sources.choose(ms(0), true), Choice::Ask(Source::Store));
+    sources.report(ms(0), Source::Store, true);
     assert_eq!(sources.choose(ms(0), false), Choice::Ask(Source::Peer(0)));
-    sources.report(ms(0), Source::Peer(0), false);
+    assert!(!sources.report(ms(0), Source::Peer(0), false));
     assert_eq!(sources.choose(ms(1), false), Choice::Ask(Source::Peer(1)));
-    sources.report(ms(1), Source::Peer(1), false);
+    sources.report(ms(1), Source::Peer(1), true);
+    assert!(
+        sources.report(ms(1), Source::Peer(1), false),
+        "nothing is heard any more"
+    );
     assert_eq!(sources.choose(ms(2), false), Choice::Ask(Source::Store));
     sources.report(ms(2), Source::Store, true);
     assert_eq!(sources.choose(ms(251), false), Choice::Ask(Source::Peer(0)));
@@ -41,6 +46,8 @@
 fn no_two_seeds_watch_each_other() {
     let mut first = Sources::new(Role::Seed { leaders: 0 }, 2, 1);
     let mut last = Sources::new(Role::Seed { leaders: 2 }, 2, 2);
+    first.report(ms(0), Source::Store, true);
+    last.report(ms(0), Source::Store, true);
     assert_eq!(first.choose(ms(0), false), Choice::Ask(Source::Store));
     assert_eq!(last.choose(ms(0), false), Choice::Ask(Source::Peer(0)));
     first.report(ms(0), Source::Store, false);
@@ -84,7 +91,9 @@
         loop {
             match sources.choose(ms(at), false) {
                 Choice::Ask(Source::Store) => break,
-                Choice::Ask(source) => sources.report(ms(at), source, false),
+                Choice::Ask(source) => {
+                    sources.report(ms(at), source, false);
+                }
                 Choice::Wait(span) => at += span.as_millis().max(1),
             }
         }
@@ -106,7 +115,9 @@
                 calls += 1;
                 sources.report(ms(now), Source::Store, false);
             }
-            Choice::Ask(source) => sources.report(ms(now), source, false),
+            Choice::Ask(source) => {
+                sources.report(ms(now), source, false);
+            }
             Choice::Wait(span) => now += span.as_millis().max(1),
         }
     }
@@ -116,6 +127,8 @@
     );
     let peer = Source::Peer(0);
     now += 3_000;
+    assert_eq!(sources.choose(ms(now), false), Choice::Ask(Source::Store));
+    sources.report(ms(now), Source::Store, false);
     assert_eq!(sources.choose(ms(now), false), Choice::Ask(peer));
     sources.report(ms(now), peer, true);
     assert_eq!(sources.choose(ms(now + 1), false), Choice::Ask(peer));
--- a/crates/cicadaweir-proto/src/feed.rs
+++ b/crates/cicadaweir-proto/src/feed.rs
@@ -6,9 +6,9 @@
 //! | `GET /feed/all` | all keys |
 //! | `GET /feed/after?revision=R&wait_ms=W&from=IP:PORT&zone=NAME` | changes after R, or none after W ms |
 //!
-//! `seed=1` marks a caller that tells many others: it is never sent on.
-//! 410 stands for changes that are no longer kept, 503 for an entry VM that
-//! knows nothing recent itself.
+//! `seed=1` marks a caller that tells many others: it is never sent on. 410
+//! stands for changes that are no longer kept, 503 for an entry VM that knows
+//! nothing recent itself, or that is told by the calling seed.
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use cicadaweir_core::mirror::{Answer, Item};
--- a/crates/cicadaweird/src/steered/feed.rs
+++ b/crates/cicadaweird/src/steered/feed.rs
@@ -59,6 +59,8 @@
     followers: IndexMap<SocketAddr, Follower>,
     next_instead: usize,
     bulk: Arc<()>,
+    /// Whether seeds may rely on what is told here.
+    leads: bool,
 }
 
 /// Another entry VM that asks.
@@ -118,6 +120,12 @@
         }
     }
 
+    /// Notes whether other seeds may rely on this entry VM: not while it is
+    /// itself told by one that may be told by it.
+    pub fn set_leads(&self, leads: bool) {
+        self.lock().leads = leads;
+    }
+
     /// Notes that nobody could be heard; the others are told at once, so that
     /// they can ask elsewhere.
     pub fn lost(&self) {
@@ -168,6 +176,10 @@
                 let from = argument("from").and_then(|text| text.parse().ok());
                 let zone = argument("zone").unwrap_or_default();
                 let is_seed = argument("seed").is_some();
+                if is_seed && !state.leads {
+                    drop(state);
+                    return respond(req, (503, Vec::new()));
+                }
                 let instead = from.filter(|_| !is_seed);
                 let instead = instead.and_then(|from| state.follow(from, &zone, &self.zone, now));
                 if let Some(instead) = instead {
--- a/crates/cicadaweird/src/steered/follow.rs
+++ b/crates/cicadaweird/src/steered/follow.rs
@@ -86,8 +86,6 @@
     /// For each seed, whom it has named instead of itself.
     peers: Vec<SocketAddr>,
     sources: Sources,
-    /// Who answered last, until it fails.
-    current: Option<Source>,
 }
 
 impl Places {
@@ -97,28 +95,9 @@
             peers: seeds.clone(),
             seeds,
             role,
-            current: None,
         }
     }
 
-    /// Notes what came of a call. Returns whether nothing is heard any more:
-    /// not if a source that is only tried again has failed again.
-    fn report(&mut self, now: time::Instant, source: Source, served: bool) -> bool {
-        self.sources.report(now, source, served);
-        if served {
-            self.current = Some(source);
-            return false;
-        }
-        if let Source::Peer(at) = source {
-            self.peers[at] = self.seeds[at];
-        }
-        let only_tried = self.current.is_some_and(|current| current != source);
-        if !only_tried {
-            self.current = None;
-        }
-        !only_tried
-    }
-
     fn matches(&self, (seeds, role): &(Vec<SocketAddr>, Role)) -> bool {
         self.seeds == *seeds && self.role == *role
     }
@@ -159,9 +138,13 @@
                 .as_ref()
                 .map_or(&Answer::Failed, |heard| &heard.answer);
             self.meters.call(source, &call, answer, asked.elapsed());
-            let is_lost = places.report(now(), source, result.is_ok());
+            let is_lost = places.sources.report(now(), source, result.is_ok());
+            self.feed.set_leads(places.sources.leads());
             dependencies.note(source, result.as_ref().err(), mirror.revision());
             let Ok(heard) = result else {
+                if let Source::Peer(at) = source {
+                    places.peers[at] = places.seeds[at];
+                }
                 if source == Source::Store && !places.sources.has_peer(now()) {
                     mirror.answer(now(), Answer::Failed, &mut updates);
                 }
@@ -201,11 +184,23 @@
     }
 
     fn ask(&self, source: Source, places: &mut Places, call: &Call) -> Result<Heard, StoreError> {
-        let is_seed = matches!(places.role, Role::Seed { .. });
-        match source {
-            Source::Store => self.ask_store(call),
-            Source::Peer(at) => self.ask_peer(&mut places.peers[at], call, is_seed),
-        }
+        let at = match source {
+            Source::Store => return self.ask_store(call),
+            Source::Peer(at) => at,
+        };
+        let watch = match call {
+            Call::Watch { after, wait } => {
+                let patient = places.sources.is_current(source);
+                let wait = if patient { wait.as_micros() } else { 0 };
+                Some(FeedWatch {
+                    after: *after,
+                    wait: Duration::from_micros(wait),
+                    is_seed: matches!(places.role, Role::Seed { .. }),
+                })
+            }
+            Call::Range { .. } | Call::Pause(_) => None,
+        };
+        self.ask_peer(&mut places.peers[at], watch)
     }
 
     fn ask_store(&self, call: &Call) -> Result<Heard, StoreError> {
@@ -223,23 +218,15 @@
         })
     }
 
+    /// Watches another entry VM, or reads all keys that it knows.
     fn ask_peer(
         &self,
         peer: &mut SocketAddr,
-        call: &Call,
-        is_seed: bool,
+        watch: Option<FeedWatch>,
     ) -> Result<Heard, StoreError> {
-        let answer = match call {
-            Call::Range { .. } => self.peers.all(*peer)?,
-            Call::Watch { after, wait } => {
-                let watch = FeedWatch {
-                    after: *after,
-                    wait: Duration::from_micros(wait.as_micros()),
-                    is_seed,
-                };
-                self.watch_peer(peer, watch)?
-            }
-            Call::Pause(_) => return Err(StoreError::Unavailable("nothing asked".to_owned())),
+        let answer = match watch {
+            Some(watch) => self.watch_peer(peer, watch)?,
+            None => self.peers.all(*peer)?,
         };
         if answer.age > OLDEST_PEER_VIEW {
             let age_ms = answer.age.as_millis();
