feat: show and explain a deployment whose packets name their target

The tool reads routes and targets from the store through the daemon's own client and decoders, and the state of the entry VMs that are named from their metrics. A placed opening's line tells how slowly its own zone answers, which decides whether flows leave it.

--- a/crates/cicadaweir-core/src/steer/directory.rs
+++ b/crates/cicadaweir-core/src/steer/directory.rs
@@ -178,6 +178,13 @@
         route.services.first().map(|s| (s.0, route.kind))
     }
 
+    /// Returns all routes: the address, its services with their weights, and
+    /// the kind of its requests.
+    pub fn routes(&self) -> impl Iterator<Item = (&Endpoint, &[(ServiceKey, u32)], WorkKind)> {
+        let routes = self.routes.iter();
+        routes.map(|(address, route)| (address, &*route.services, route.kind))
+    }
+
     /// Returns whether a route's flows may belong to a service, and their kind.
     pub fn allows(&self, address: &Endpoint, service: ServiceKey) -> Option<(bool, WorkKind)> {
         let route = self.routes.get(address)?;
--- a/crates/cicadaweir-core/src/steer/steering/placing.rs
+++ b/crates/cicadaweir-core/src/steer/steering/placing.rs
@@ -87,6 +87,7 @@
         let mut inputs = OpeningInputs {
             score: chosen.score,
             in_flight: self.work(chosen.target).in_flight as f32,
+            slowdown: self.slowdown(now, service, self.zone),
             ..OpeningInputs::default()
         };
         for trust in trust {
--- a/crates/cicadaweir-core/src/steer/verdict.rs
+++ b/crates/cicadaweir-core/src/steer/verdict.rs
@@ -50,6 +50,9 @@
     pub score: f32,
     /// The chosen target's requests in flight, as this entry VM knows.
     pub in_flight: f32,
+    /// How many times as long as usual the own availability zone takes to
+    /// answer; above some bound flows leave it.
+    pub slowdown: f32,
 }
 
 /// Why a flow is reset.
--- a/crates/cicadaweir/src/arguments.rs
+++ b/crates/cicadaweir/src/arguments.rs
@@ -80,6 +80,17 @@
         #[bpaf(positional("FLOW"))]
         flow: String,
     },
+    /// Prints the routes and targets in the store of a deployment whose packets
+    /// name their target, and the state of entry VMs
+    #[bpaf(command)]
+    Steered {
+        /// Only the route of this address, with the targets that could take it
+        #[bpaf(argument("IP:PORT"), optional)]
+        address: Option<SocketAddr>,
+        /// The metrics address of an entry VM
+        #[bpaf(argument("IP:PORT"), many)]
+        entry: Vec<SocketAddr>,
+    },
     /// Runs recorded traces through the core and compares every action
     #[bpaf(command)]
     Replay {
--- a/crates/cicadaweir/src/commands.rs
+++ b/crates/cicadaweir/src/commands.rs
@@ -2,6 +2,7 @@
 
 use std::{
     io::{self, Write},
+    net::SocketAddr,
     process::ExitCode,
     time::Duration,
 };
@@ -12,10 +13,12 @@
     fleet::Fleet,
     history, publish,
     report::{self, Report},
+    steered,
 };
 use cicadaweir_core::{
     catalog::{NoteId, ReleaseNote, Revision},
     error::ErrorKind,
+    flow::Endpoint,
 };
 use cicadaweir_proto::{note, trace};
 use cicadaweird::platform::{HttpPlatform, Platform};
@@ -53,6 +56,15 @@
     }
 }
 
+impl From<steered::Error> for Failure {
+    fn from(err: steered::Error) -> Self {
+        match err {
+            steered::Error::Store(_) => Self::of(ErrorKind::StoreUnavailable, err),
+            steered::Error::NoRoute(_) => Self::other(err),
+        }
+    }
+}
+
 impl From<publish::Error> for Failure {
     fn from(err: publish::Error) -> Self {
         Self::of(err.kind(), err)
@@ -77,6 +89,7 @@
         Command::Flows => fleet(&platform).map(|f| (report::flows(&f.status()), 0)),
         Command::Drain { member } => drain(&platform, member),
         Command::Explain { flow } => explain(&platform, &flow),
+        Command::Steered { address, entry } => steered(arguments.store, address, &entry),
         Command::Replay { files } => replay(&files),
         Command::Demo {
             boards,
@@ -105,6 +118,18 @@
     }
 }
 
+fn steered(
+    store: SocketAddr,
+    address: Option<SocketAddr>,
+    entries: &[SocketAddr],
+) -> Result<(Report, u8), Failure> {
+    let directory = steered::read(store)?;
+    let entries = steered::entries(entries);
+    let report = steered::report(&directory, address.map(Endpoint::from), &entries)?;
+    let silent = entries.iter().any(|entry| entry.state.is_none());
+    Ok((report, if silent { exit::NOT_IN_FORCE } else { 0 }))
+}
+
 fn fleet(platform: &HttpPlatform) -> Result<Fleet, Failure> {
     let list = platform
         .members()
--- a/crates/cicadaweird/src/steered.rs
+++ b/crates/cicadaweird/src/steered.rs
@@ -13,6 +13,7 @@
 //! | [`endpoint`] | readiness and metrics over HTTP |
 //! | [`Meters`] | counters and histograms |
 
+mod changes;
 mod client;
 pub mod endpoint;
 mod engine;
@@ -22,6 +23,7 @@
 mod run;
 mod seeds;
 
+pub use changes::change_of;
 pub use client::{FeedAnswer, FeedClient, FeedWatch, StoreClient, StoreError};
 pub use engine::Engine;
 pub use feed::Feed;
--- a/crates/cicadaweird/src/steered/engine.rs
+++ b/crates/cicadaweird/src/steered/engine.rs
@@ -379,6 +379,7 @@
             trusted = inputs.trusted,
             in_flight = inputs.in_flight,
             score = inputs.score,
+            slowdown = inputs.slowdown,
             version = directory.version(),
             view_age_ms = self.view_age_ms();
             "opening placed"
--- a/crates/cicadaweird/src/steered/follow.rs
+++ b/crates/cicadaweird/src/steered/follow.rs
@@ -12,11 +12,12 @@
     steer::Change,
     time,
 };
-use cicadaweir_platform::records::{self, ROUTES_KEY, TARGETS_PREFIX};
+use cicadaweir_platform::records::TARGETS_PREFIX;
 use log::{debug, info, warn};
 
 use super::{
     Feed, FeedAnswer, FeedClient, FeedWatch, Inbox, Input, Meters, Seeds, StoreClient, StoreError,
+    change_of,
 };
 
 /// Everything in the store is followed by one watch.
@@ -307,7 +308,7 @@
         match update {
             Update::Complete => news.complete = true,
             Update::Current => news.current = true,
-            Update::Written { key, value, .. } => news.changes.extend(written(&key, &value)),
+            Update::Written { key, value, .. } => news.changes.extend(change_of(&key, &value)),
             Update::Removed { key, .. } => {
                 if let Some(name) = key.strip_prefix(TARGETS_PREFIX) {
                     news.changes.push(Change::Gone { name: name.into() });
@@ -317,24 +318,3 @@
     }
     news
 }
-
-fn written(key: &str, value: &[u8]) -> Option<Change> {
-    if key == ROUTES_KEY {
-        let skipped = |err| warn!(err:display; "a route is left out");
-        return match records::routes_from(value, skipped) {
-            Ok(table) => Some(Change::Routes(table)),
-            Err(err) => {
-                warn!(key, err:display; "the configuration is ignored, the one before stays in force");
-                None
-            }
-        };
-    }
-    let name = key.strip_prefix(TARGETS_PREFIX)?;
-    match records::target_from(name, value) {
-        Ok(spec) => Some(Change::Target(spec)),
-        Err(err) => {
-            warn!(target_name = name, err:display; "the entry names no target");
-            Some(Change::Gone { name: name.into() })
-        }
-    }
-}
