--- /dev/null
+++ b/crates/cicadaweir-core/src/steer/counters.rs
@@ -0,0 +1,66 @@
+//! Counts of decisions, for metrics.
+
+use super::{DropReason, ResetReason, Verdict};
+
+/// What has been decided so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Counters {
+    /// Openings that were placed.
+    pub placed: u64,
+    /// Repeated openings that were placed.
+    pub repeated_openings: u64,
+    /// Packets that followed their flow.
+    pub forwarded: u64,
+    /// Flows that another entry VM had placed.
+    pub adopted: u64,
+    /// Requests whose answer has begun.
+    pub answered: u64,
+    /// Requests that callers repeated.
+    pub repeated_requests: u64,
+    /// Targets that became suspected.
+    pub suspected: u64,
+    /// Suspected targets that answered again.
+    pub cleared: u64,
+    /// Resets by reason, in the order of [`ResetReason`].
+    pub resets: [u64; ResetReason::ALL.len()],
+    /// Dropped packets by reason, in the order of [`DropReason`].
+    pub drops: [u64; DropReason::ALL.len()],
+    /// Packets that had to wait.
+    pub waits: u64,
+}
+
+impl Counters {
+    /// Returns all counts by decision and detail, always in the same order.
+    pub fn entries(&self) -> impl Iterator<Item = (&'static str, &'static str, u64)> {
+        let single = [
+            ("placed", "new", self.placed),
+            ("placed", "repeated", self.repeated_openings),
+            ("forwarded", "known", self.forwarded),
+            ("forwarded", "adopted", self.adopted),
+            ("waited", "any", self.waits),
+            ("request", "answered", self.answered),
+            ("request", "repeated", self.repeated_requests),
+            ("belief", "suspected", self.suspected),
+            ("belief", "cleared", self.cleared),
+        ];
+        let resets = ResetReason::ALL.iter().zip(self.resets);
+        let resets = resets.map(|(reason, count)| ("reset", reason.name(), count));
+        let drops = DropReason::ALL.iter().zip(self.drops);
+        let drops = drops.map(|(reason, count)| ("drop", reason.name(), count));
+        single.into_iter().chain(resets).chain(drops)
+    }
+
+    /// Counts a verdict.
+    pub(super) fn count(&mut self, verdict: &Verdict) {
+        match verdict {
+            Verdict::Place { .. } => self.placed += 1,
+            Verdict::Forward { adopted, .. } => {
+                self.forwarded += 1;
+                self.adopted += u64::from(*adopted);
+            }
+            Verdict::Reset(reason) => self.resets[*reason as usize] += 1,
+            Verdict::Drop(reason) => self.drops[*reason as usize] += 1,
+            Verdict::Wait(_) => self.waits += 1,
+        }
+    }
+}
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -14,60 +14,11 @@
 };
 
 use super::{
-    AnswerTimes, Applied, Change, Directory, DropReason, Expired, FlowPhase, FlowState, Flows,
-    Observation, Options, Progress, ResetReason, Segment, Suspicion, Trust, Verdict, WaitReason,
-    Waiter, Waiting, Work,
+    AnswerTimes, Applied, Change, Counters, Directory, DropReason, Expired, FlowPhase, FlowState,
+    Flows, Observation, Options, Progress, ResetReason, Segment, Suspicion, Trust, Verdict,
+    WaitReason, Waiter, Waiting, Work,
 };
 
-/// What has been decided so far.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Counters {
-    /// Openings that were placed.
-    pub placed: u64,
-    /// Repeated openings that were placed.
-    pub repeated_openings: u64,
-    /// Packets that followed their flow.
-    pub forwarded: u64,
-    /// Flows that another entry VM had placed.
-    pub adopted: u64,
-    /// Requests whose answer has begun.
-    pub answered: u64,
-    /// Requests that callers repeated.
-    pub repeated_requests: u64,
-    /// Targets that became suspected.
-    pub suspected: u64,
-    /// Suspected targets that answered again.
-    pub cleared: u64,
-    /// Resets by reason, in the order of [`ResetReason`].
-    pub resets: [u64; ResetReason::ALL.len()],
-    /// Dropped packets by reason, in the order of [`DropReason`].
-    pub drops: [u64; DropReason::ALL.len()],
-    /// Packets that had to wait.
-    pub waits: u64,
-}
-
-impl Counters {
-    /// Returns all counts by decision and detail, always in the same order.
-    pub fn entries(&self) -> impl Iterator<Item = (&'static str, &'static str, u64)> {
-        let single = [
-            ("placed", "new", self.placed),
-            ("placed", "repeated", self.repeated_openings),
-            ("forwarded", "known", self.forwarded),
-            ("forwarded", "adopted", self.adopted),
-            ("waited", "any", self.waits),
-            ("request", "answered", self.answered),
-            ("request", "repeated", self.repeated_requests),
-            ("belief", "suspected", self.suspected),
-            ("belief", "cleared", self.cleared),
-        ];
-        let resets = ResetReason::ALL.iter().zip(self.resets);
-        let resets = resets.map(|(reason, count)| ("reset", reason.name(), count));
-        let drops = DropReason::ALL.iter().zip(self.drops);
-        let drops = drops.map(|(reason, count)| ("drop", reason.name(), count));
-        single.into_iter().chain(resets).chain(drops)
-    }
-}
-
 /// One entry VM's decisions about packets that name their target.
 #[derive(Debug)]
 pub struct Steering {
@@ -199,14 +150,14 @@
     /// Decides where a packet goes.
     pub fn packet(&mut self, now: Instant, segment: &Segment) -> Verdict {
         let verdict = self.fresh(now, segment);
-        self.count(&verdict);
+        self.counters.count(&verdict);
         verdict
     }
 
     /// Decides where a packet goes that has waited.
     pub fn waited(&mut self, now: Instant, waiter: &Waiter) -> Verdict {
         let verdict = self.decide(now, &waiter.segment, false);
-        self.count(&verdict);
+        self.counters.count(&verdict);
         verdict
     }
 
@@ -224,7 +175,7 @@
     pub fn next_waiter(&mut self, now: Instant) -> Option<Result<Waiter, Waiter>> {
         if !self.complete {
             let expired = self.waiting.pop_expired(now, self.options.view_patience)?;
-            self.count(&Verdict::Drop(DropReason::Waited));
+            self.counters.count(&Verdict::Drop(DropReason::Waited));
             return Some(Err(expired));
         }
         if let Some(waiter) = self.waiting.pop_expired(now, self.options.room_patience) {
@@ -467,20 +418,6 @@
             self.strike(now, flow.target, since);
         }
     }
-
-    fn count(&mut self, verdict: &Verdict) {
-        let c = &mut self.counters;
-        match verdict {
-            Verdict::Place { .. } => c.placed += 1,
-            Verdict::Forward { adopted, .. } => {
-                c.forwarded += 1;
-                c.adopted += u64::from(*adopted);
-            }
-            Verdict::Reset(reason) => c.resets[*reason as usize] += 1,
-            Verdict::Drop(reason) => c.drops[*reason as usize] += 1,
-            Verdict::Wait(_) => c.waits += 1,
-        }
-    }
 }
 
 fn forget(work: &mut Work, flow: &FlowState) {
