fix: write the last log lines before the process ends

Ruled out: the stop itself, which had ended with 0, and the file, which nobody else writes.

Change: main waits up to 300 ms until the lines taken so far are out.

--- a/crates/cicadaweird/src/logs.rs
+++ b/crates/cicadaweird/src/logs.rs
@@ -8,15 +8,17 @@
 use env_logger::{Builder, Env, Target};
 
 pub use budget::{Budget, Kind};
-pub use pipe::BoundedPipe;
+pub use pipe::{BoundedPipe, Tail};
 
 /// Lines that may wait for standard output.
 const WAITING_LINES: usize = 4_096;
 
 /// Starts logging to standard output: one line a record, the message first
-/// and then its keys with their values.
-pub fn start() {
+/// and then its keys with their values. Returns the end of the output, to be
+/// waited for before the process ends.
+pub fn start() -> Tail {
     let pipe = BoundedPipe::start(std::io::stdout(), WAITING_LINES);
+    let tail = pipe.tail();
     Builder::from_env(Env::default().default_filter_or("info"))
         .target(Target::Pipe(Box::new(pipe)))
         .format(|buf, record| {
@@ -29,6 +31,7 @@
             writeln!(buf)
         })
         .init();
+    tail
 }
 
 /// Writes keys and values behind a message.
--- a/crates/cicadaweird/src/logs/pipe.rs
+++ b/crates/cicadaweird/src/logs/pipe.rs
@@ -8,31 +8,72 @@
         mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
+    time::{Duration, Instant},
 };
 
+/// How often the end of a pipe looks whether all lines are out.
+const LOOK: Duration = Duration::from_millis(2);
+
 /// Lines towards a writer that may block.
 #[derive(Debug)]
 pub struct BoundedPipe {
     tx: SyncSender<Vec<u8>>,
-    lost: Arc<AtomicU64>,
+    counts: Arc<Counts>,
+}
+
+/// What has become of the lines.
+#[derive(Debug, Default)]
+struct Counts {
+    taken: AtomicU64,
+    written: AtomicU64,
+    lost: AtomicU64,
+}
+
+/// The end of a pipe, for the end of the process: its last lines tell why.
+#[derive(Debug)]
+pub struct Tail(Arc<Counts>);
+
+impl Tail {
+    /// Waits until the lines taken so far are written, for `limit` at most: an
+    /// output that nobody reads must not hold the process. Returns whether
+    /// they are.
+    pub fn finish(&self, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        let taken = self.0.taken.load(Ordering::SeqCst);
+        loop {
+            if self.0.written.load(Ordering::SeqCst) >= taken {
+                return true;
+            }
+            if Instant::now() >= end {
+                return false;
+            }
+            thread::sleep(LOOK);
+        }
+    }
 }
 
 impl BoundedPipe {
     /// Starts the thread that writes; at most `lines` wait for it.
     pub fn start(out: impl Write + Send + 'static, lines: usize) -> Self {
         let (tx, rx) = sync_channel(lines);
-        let lost = Arc::new(AtomicU64::new(0));
-        let shared = Arc::clone(&lost);
+        let counts = Arc::new(Counts::default());
+        let shared = Arc::clone(&counts);
         thread::spawn(move || copy(&rx, out, &shared));
-        Self { tx, lost }
+        Self { tx, counts }
+    }
+
+    /// Returns the pipe's end.
+    pub fn tail(&self) -> Tail {
+        Tail(Arc::clone(&self.counts))
     }
 }
 
 impl Write for BoundedPipe {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        if self.tx.try_send(buf.to_vec()).is_err() {
-            self.lost.fetch_add(1, Ordering::Relaxed);
-        }
+        match self.tx.try_send(buf.to_vec()) {
+            Ok(()) => self.counts.taken.fetch_add(1, Ordering::SeqCst),
+            Err(_) => self.counts.lost.fetch_add(1, Ordering::Relaxed),
+        };
         Ok(buf.len())
     }
 
@@ -41,13 +82,14 @@
     }
 }
 
-fn copy(rx: &Receiver<Vec<u8>>, mut out: impl Write, lost: &AtomicU64) {
+fn copy(rx: &Receiver<Vec<u8>>, mut out: impl Write, counts: &Counts) {
     while let Ok(line) = rx.recv() {
-        let missing = lost.swap(0, Ordering::Relaxed);
+        let missing = counts.lost.swap(0, Ordering::Relaxed);
         if missing > 0 {
             let _ = writeln!(out, "lines lost because the output lagged count={missing}");
         }
         // Nobody is left to be told if standard output is closed.
         let _ = out.write_all(&line).and_then(|()| out.flush());
+        counts.written.fetch_add(1, Ordering::SeqCst);
     }
 }
--- a/crates/cicadaweird/src/main.rs
+++ b/crates/cicadaweird/src/main.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{self, Write},
     process::ExitCode,
+    time::Duration,
 };
 
 use bpaf::Bpaf;
@@ -17,6 +18,10 @@
 /// The exit code for settings that are not allowed.
 const EXIT_SETTINGS: u8 = 2;
 
+/// How long the last log lines may take to be written; far less than the
+/// platform waits between its signals.
+const LAST_LINES: Duration = Duration::from_millis(300);
+
 /// Runs one entry VM of cicadaweir.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
@@ -30,7 +35,7 @@
 
 fn main() -> ExitCode {
     let arguments = arguments().run();
-    logs::start();
+    let log = logs::start();
     let settings = match Carrier::load(&arguments.settings) {
         Ok(settings) => settings,
         Err(err) => {
@@ -46,13 +51,15 @@
         );
         return ExitCode::SUCCESS;
     }
-    match run(settings, &arguments.settings) {
+    let code = match run(settings, &arguments.settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             error!("{err}");
             ExitCode::FAILURE
         }
-    }
+    };
+    log.finish(LAST_LINES);
+    code
 }
 
 fn run(settings: Carrier, path: &str) -> io::Result<()> {
