--- a/crates/cicadaweir-core/src/steer.rs
+++ b/crates/cicadaweir-core/src/steer.rs
@@ -48,7 +48,7 @@
 pub use pending::{PendingPacket, PendingPackets};
 pub use placement::{Candidate, choose};
 pub use response_times::ResponseTimes;
-pub use route::{RequestKind, Route, RouteTable};
+pub use route::{LOWEST_PRIORITY, RequestKind, Route, RouteTable};
 pub use segment::Segment;
 pub use steering::Steering;
 pub use suspicion::{Suspicion, Trust};
--- a/crates/cicadaweir-core/src/steer/flows.rs
+++ b/crates/cicadaweir-core/src/steer/flows.rs
@@ -11,6 +11,11 @@
 
 use super::{Options, RequestKind, Segment};
 
+/// The largest distance from an opening's sequence number to that of a packet of
+/// its flow before the flow is known to be open: a caller has at most 16 packets
+/// of 1,200 bytes in flight then.
+const MAX_SEQUENCE_DISTANCE: u32 = 16 * 1_200;
+
 /// The phase of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FlowPhase {
@@ -43,6 +48,8 @@
     /// When the caller first sent the data that it now retransmits; none if the
     /// target has answered since.
     pub unanswered_since: Option<Instant>,
+    /// The sequence number of the opening; none for an adopted flow.
+    opening_sequence: Option<u32>,
     ack: u32,
     sequence: u32,
     sequence_at: Instant,
@@ -79,7 +86,7 @@
 
 impl FlowState {
     /// Creates the state of a flow whose opening is being placed.
-    pub fn opening(target: TargetKey, kind: RequestKind, now: Instant) -> Self {
+    pub fn opening(target: TargetKey, kind: RequestKind, segment: &Segment, now: Instant) -> Self {
         Self {
             target,
             phase: FlowPhase::Opening,
@@ -89,6 +96,7 @@
             last_packet: now,
             request_since: Some(now),
             unanswered_since: None,
+            opening_sequence: Some(segment.sequence),
             ack: 0,
             sequence: 0,
             sequence_at: now,
@@ -100,12 +108,20 @@
         Self {
             phase: FlowPhase::Open,
             request_since: None,
+            opening_sequence: None,
             ack: segment.ack,
             sequence: segment.sequence.wrapping_sub(1),
-            ..Self::opening(target, kind, now)
+            ..Self::opening(target, kind, segment, now)
         }
     }
 
+    /// Returns whether a packet may belong to this flow. One with a sequence number
+    /// far from the opening's belongs to an earlier flow of the same ports.
+    pub fn may_include(&self, segment: &Segment) -> bool {
+        self.opening_sequence
+            .is_none_or(|opening| segment.sequence.wrapping_sub(opening) <= MAX_SEQUENCE_DISTANCE)
+    }
+
     /// Updates the state with a packet that isn't an opening.
     pub fn observe(&mut self, segment: &Segment, now: Instant) -> Progress {
         let mut progress = Progress::default();
@@ -181,6 +197,11 @@
         self.flows.remove(flow)
     }
 
+    /// Removes all flows of a target.
+    pub fn remove_target(&mut self, target: TargetKey) {
+        self.flows.retain(|_, flow| flow.target != target);
+    }
+
     /// Removes flows that have ended or were idle for longer than `idle`, and
     /// requests whose callers have timed out; calls `each` for each of them.
     pub fn expire(
--- a/crates/cicadaweir-core/src/steer/route.rs
+++ b/crates/cicadaweir-core/src/steer/route.rs
@@ -16,6 +16,9 @@
     Download,
 }
 
+/// The priority of a route that states none. 0 is the highest priority.
+pub const LOWEST_PRIORITY: u8 = u8::MAX;
+
 /// The services behind an address.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Route {
@@ -23,6 +26,25 @@
     pub services: Vec<(Box<str>, u32)>,
     /// The kind of its requests.
     pub kind: RequestKind,
+    /// The latency objective of its requests, from the caller's first attempt.
+    pub aim: Option<Duration>,
+    /// The time after which its requests are given up.
+    pub timeout: Option<Duration>,
+    /// The priority of its requests under load; 0 is the highest.
+    pub priority: u8,
+}
+
+impl Route {
+    /// Creates a route without objectives, of the lowest priority.
+    pub const fn new(services: Vec<(Box<str>, u32)>, kind: RequestKind) -> Self {
+        Self {
+            services,
+            kind,
+            aim: None,
+            timeout: None,
+            priority: LOWEST_PRIORITY,
+        }
+    }
 }
 
 /// All routes of one configuration.
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -154,11 +154,20 @@
         self.zone_probed_at
             .resize(self.directory.zone_count(), None);
         if let Applied::NewTarget(key) = applied {
-            self.suspicion[key.0 as usize] = Suspicion::default();
+            self.forget_target(key);
         }
         applied
     }
 
+    /// Forgets what was known of the target that had a key before: its flows may
+    /// not follow the key to another target or another start of it, and are
+    /// adopted again by their cookies.
+    fn forget_target(&mut self, key: TargetKey) {
+        self.flows.remove_target(key);
+        self.loads[key.0 as usize] = TargetLoad::default();
+        self.suspicion[key.0 as usize] = Suspicion::default();
+    }
+
     /// Decides on a packet that has just arrived.
     pub fn packet(&mut self, now: Instant, segment: &Segment) -> Verdict {
         let verdict = self.decide_new(now, segment);
@@ -247,12 +256,12 @@
                 Expired::Flow => release_load(load, flow),
             }
         });
-        let (loads, suspicion) = (&mut self.loads, &mut self.suspicion);
+        let mut evicted = Vec::new();
         self.directory
-            .evict_departed(now, options.departed_ttl, |key| {
-                loads[key.0 as usize] = TargetLoad::default();
-                suspicion[key.0 as usize] = Suspicion::default();
-            });
+            .evict_departed(now, options.departed_ttl, |key| evicted.push(key));
+        for key in evicted {
+            self.forget_target(key);
+        }
     }
 
     /// Decides on a packet before the whole store has been read: it is sent if
@@ -308,7 +317,7 @@
         let Some((target, inputs)) = self.place(now, service, avoid) else {
             return Verdict::Reset(ResetReason::NoTarget);
         };
-        let mut state = FlowState::opening(target, kind, now);
+        let mut state = FlowState::opening(target, kind, segment, now);
         state.first_opening = unanswered.map_or(now, |flow| flow.first_opening);
         if self
             .flows
@@ -341,6 +350,9 @@
         let Some(flow) = self.flows.get_mut(&segment.flow) else {
             return self.adopt(now, segment);
         };
+        if flow.phase == FlowPhase::Opening && !flow.may_include(segment) {
+            return self.decide_earlier_flow(segment);
+        }
         if flow.phase == FlowPhase::Opening && segment.cookie.is_some() {
             let Some(named) = self.directory.by_cookie(segment.cookie) else {
                 return Verdict::Drop(DropReason::TargetUnknown);
@@ -374,6 +386,27 @@
         }
     }
 
+    /// Decides on a late packet of an earlier flow with the same ports: it follows
+    /// its own cookie and changes nothing here.
+    fn decide_earlier_flow(&self, segment: &Segment) -> Verdict {
+        let target = self.directory.by_cookie(segment.cookie);
+        let entry = target.and_then(|key| Some((key, self.directory.target(key)?)));
+        let Some((target, entry)) = entry else {
+            return Verdict::Drop(DropReason::TargetUnknown);
+        };
+        let allowed = self
+            .directory
+            .service_allowed(&segment.flow.address, entry.service);
+        match allowed {
+            Some((true, _)) => Verdict::Forward {
+                target,
+                adopted: false,
+            },
+            Some((false, _)) => Verdict::Drop(DropReason::OtherService),
+            None => Verdict::Drop(DropReason::RouteUnknown),
+        }
+    }
+
     fn adopt(&mut self, now: Instant, segment: &Segment) -> Verdict {
         let Some(target) = self.directory.by_cookie(segment.cookie) else {
             return Verdict::Drop(DropReason::TargetUnknown);
--- a/crates/cicadaweir-core/src/time.rs
+++ b/crates/cicadaweir-core/src/time.rs
@@ -1,4 +1,5 @@
-//! Time and durations in microseconds, on the driver's clock.
+//! Time and durations in microseconds, on the driver's clock; arithmetic
+//! saturates.
 
 use std::ops::{Add, AddAssign, Sub};
 
@@ -19,14 +20,14 @@
         Self(micros)
     }
 
-    /// Creates a duration from whole milliseconds.
+    /// Creates a duration from whole milliseconds, saturating on overflow.
     pub const fn from_millis(millis: u64) -> Self {
-        Self(millis * 1_000)
+        Self(millis.saturating_mul(1_000))
     }
 
-    /// Creates a duration from whole seconds.
+    /// Creates a duration from whole seconds, saturating on overflow.
     pub const fn from_secs(secs: u64) -> Self {
-        Self(secs * 1_000_000)
+        Self(secs.saturating_mul(1_000_000))
     }
 
     /// Returns the duration in whole microseconds.
--- a/crates/cicadaweir-core/tests/steer/main.rs
+++ b/crates/cicadaweir-core/tests/steer/main.rs
@@ -6,5 +6,6 @@
 mod openings;
 mod pending;
 mod properties;
+mod reuse;
 mod support;
 mod suspicion;
--- /dev/null
+++ b/crates/cicadaweir-core/tests/steer/reuse.rs
@@ -0,0 +1,124 @@
+//! Names, keys and ports that are in use again.
+
+use cicadaweir_core::{
+    prelude::*,
+    steer::{Applied, Change, DropReason, Options, Verdict},
+};
+
+use crate::support::{
+    AT_MOST_ONCE_PORT, IDEMPOTENT_PORT, acknowledgement, cookie, data, entry_vm, flow, ms,
+    open_flow, open_flow_on_target, opening, target, target_number,
+};
+
+fn key(vm: &cicadaweir_core::steer::Steering, n: u64) -> TargetKey {
+    vm.directory().by_cookie(cookie(n)).expect("a known target")
+}
+
+#[test]
+fn a_target_that_restarts_under_its_name_has_no_load() {
+    let mut vm = entry_vm(1);
+    for caller in 0..5 {
+        open_flow(&mut vm, ms(0), flow(caller, IDEMPOTENT_PORT));
+    }
+    let before = vm.target_load(key(&vm, 1));
+    assert_eq!((before.open, before.in_flight), (5, 5));
+    let mut restarted = target(1, "classes", "a");
+    restarted.born = Some(2);
+    let applied = vm.apply(ms(10), Change::Target(restarted));
+    assert!(matches!(applied, Applied::NewTarget(_)));
+    let after = vm.target_load(key(&vm, 1));
+    assert_eq!((after.open, after.in_flight), (0, 0));
+    let late = data(flow(2, IDEMPOTENT_PORT), cookie(1), 101, 1_000);
+    let verdict = vm.packet(ms(20), &late);
+    assert_eq!(
+        target_number(&vm, verdict),
+        1,
+        "the target itself resets flows that it does not know"
+    );
+    let fresh = flow(9, IDEMPOTENT_PORT);
+    open_flow(&mut vm, ms(30), fresh);
+    crate::support::close_flow(&mut vm, ms(40), flow(2, IDEMPOTENT_PORT));
+    assert_eq!(vm.target_load(key(&vm, 1)).open, 1, "the new flow counts");
+}
+
+// Another writer's entry names two services in turn.
+#[test]
+fn a_flow_does_not_follow_an_entry_to_another_service() {
+    let mut vm = entry_vm(3);
+    let held = open_flow_on_target(&mut vm, ms(0), IDEMPOTENT_PORT, 2, 1);
+    vm.apply(ms(10), Change::Target(target(2, "sheets", "a")));
+    let verdict = vm.packet(ms(20), &data(held, cookie(2), 101, 1_000));
+    assert_eq!(verdict, Verdict::Drop(DropReason::OtherService));
+    vm.apply(ms(30), Change::Target(target(2, "classes", "a")));
+    let verdict = vm.packet(ms(40), &data(held, cookie(2), 101, 1_000));
+    assert_eq!(target_number(&vm, verdict), 2);
+}
+
+// A caller keeps sending to a target that has left for good, until the target's
+// key is that of a new target of another service.
+#[test]
+fn a_flow_does_not_follow_a_key_that_is_in_use_again() {
+    let mut vm = entry_vm(3);
+    let held = open_flow_on_target(&mut vm, ms(0), AT_MOST_ONCE_PORT, 2, 1);
+    let old_key = key(&vm, 2);
+    let name = "i-2".into();
+    vm.apply(ms(10), Change::TargetRemoved { name });
+    let departed_ttl = Options::default().departed_ttl.as_millis();
+    for second in 0..=departed_ttl / 1_000 + 1 {
+        let at = ms(1_000 * second + 500);
+        vm.packet(at, &data(held, cookie(2), 101, 1_000));
+        vm.tick(at);
+    }
+    let end = ms(departed_ttl + 3_000);
+    vm.apply(end, Change::Target(target(50, "sheets", "a")));
+    assert_eq!(key(&vm, 50), old_key, "the key is in use again");
+    let verdict = vm.packet(end, &data(held, cookie(2), 101, 1_000));
+    assert_eq!(verdict, Verdict::Drop(DropReason::TargetUnknown));
+}
+
+// A caller's port is in use again while a packet of its last flow is still on the
+// way.
+#[test]
+fn a_late_packet_of_an_earlier_flow_does_not_move_the_new_one() {
+    let mut vm = entry_vm(6);
+    let reused = flow(7, IDEMPOTENT_PORT);
+    let mut first = opening(reused, 0);
+    first.sequence = 1_000_000;
+    let verdict = vm.packet(ms(0), &first);
+    let old = target_number(&vm, verdict);
+    let mut packet = acknowledgement(reused, cookie(old), 5_000);
+    packet.sequence = 1_000_001;
+    vm.packet(ms(10), &packet);
+    let mut closing = packet;
+    closing.kind = PacketKind::Closing;
+    vm.packet(ms(20), &closing);
+    let mut second = opening(reused, 0);
+    second.sequence = 3_000_000_000;
+    let mut new = old;
+    for at in 0..50 {
+        let verdict = vm.packet(ms(30 + at), &second);
+        new = target_number(&vm, verdict);
+        if new != old {
+            break;
+        }
+        let mut closing = closing;
+        closing.sequence = 3_000_000_001;
+        closing.cookie = cookie(new);
+        vm.packet(ms(30 + at), &closing);
+    }
+    assert_ne!(new, old, "the new flow is on another target");
+    let verdict = vm.packet(ms(100), &closing);
+    assert_eq!(
+        target_number(&vm, verdict),
+        old,
+        "the late packet goes to its own target"
+    );
+    let mut packet = acknowledgement(reused, cookie(new), 9_000);
+    packet.sequence = 3_000_000_001;
+    let verdict = vm.packet(ms(110), &packet);
+    assert_eq!(target_number(&vm, verdict), new);
+    let mut request = data(reused, cookie(new), 3_000_000_001, 9_000);
+    request.ack = 9_000;
+    let verdict = vm.packet(ms(120), &request);
+    assert_eq!(target_number(&vm, verdict), new);
+}
--- a/crates/cicadaweir-core/tests/steer/support.rs
+++ b/crates/cicadaweir-core/tests/steer/support.rs
@@ -58,10 +58,7 @@
 }
 
 pub fn routes(version: u64) -> RouteTable {
-    let route = |service: &str, kind| Route {
-        services: vec![(service.into(), 1)],
-        kind,
-    };
+    let route = |service: &str, kind| Route::new(vec![(service.into(), 1)], kind);
     let table = [
         (
             address(IDEMPOTENT_PORT),
