fix: no entry VM counts another's old view as recent; odd items cost themselves alone

Change: mirror::Relay (core) decides who is served. A response that lay unread during a pause is dated by its request. Ages include the time of a suspension (CLOCK_BOOTTIME). Further causes: watch_wait underflowed in a second outage; removals came in the order of a hash map; one unreadable item failed its page again and again; a watch answer above 4 MB failed for ever (seen: 30 s without following, 400 odd entries of 100 KB); rejections were logged without a bound; a panic in the follower left the process up. Each has a test that failed first, except the panic's end (threads::spawn).

--- a/crates/cicadaweir-core/src/mirror.rs
+++ b/crates/cicadaweir-core/src/mirror.rs
@@ -14,10 +14,12 @@
 
 mod log;
 mod options;
+mod relay;
 mod sources;
 mod update;
 
-use hashbrown::{HashMap, HashSet};
+use hashbrown::HashSet;
+use indexmap::IndexMap;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -25,9 +27,18 @@
 
 pub use log::{ChangeLog, HistoryError};
 pub use options::Options;
+pub use relay::{Admittance, Answer, ChangeRequest, Relay, Requester};
 pub use sources::{Role, Selection, Source, SourceSelector};
 pub use update::{Call, Item, StoreResponse, Update};
 
+/// The longest time that a response takes to arrive while it still counts as sent
+/// when it is received; the store usually answers within 4 ms, and availability zones
+/// are at most tens of milliseconds apart.
+const MAX_TRANSIT: Duration = Duration::from_millis(100);
+
+/// The shortest wait of a watch that ends when delayed removals are due.
+const MIN_WATCH_WAIT: Duration = Duration::from_millis(1);
+
 /// The state of the replication.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
@@ -37,6 +48,21 @@
     Watching,
 }
 
+/// Returns when the data of a response was sent, at the earliest: after a call that
+/// was made at `requested_at` and allowed to wait for `wait`, received at
+/// `received_at`, from a source whose data was `age` old.
+///
+/// A response may lie unread while the process is paused or the machine is
+/// suspended; it doesn't become more recent by that.
+pub fn sent_at(
+    requested_at: Instant,
+    wait: Duration,
+    received_at: Instant,
+    age: Duration,
+) -> Instant {
+    received_at.min(requested_at + wait + MAX_TRANSIT) - age
+}
+
 /// A replica of all keys below a prefix.
 #[derive(Debug)]
 pub struct Mirror {
@@ -52,9 +78,9 @@
     /// The keys of the read in progress.
     read_keys: HashSet<String>,
     /// The revision of each present key.
-    revisions: HashMap<String, u64>,
+    revisions: IndexMap<String, u64>,
     /// The revisions of removals that are not reported yet, by key.
-    delayed_removals: HashMap<String, u64>,
+    delayed_removals: IndexMap<String, u64>,
     /// Consecutive failed calls.
     failures: u32,
     backoff_due: bool,
@@ -77,8 +103,8 @@
             read_revision: None,
             page_after: None,
             read_keys: HashSet::new(),
-            revisions: HashMap::new(),
-            delayed_removals: HashMap::new(),
+            revisions: IndexMap::new(),
+            delayed_removals: IndexMap::new(),
             failures: 0,
             backoff_due: false,
             unavailable_since: None,
@@ -155,7 +181,7 @@
         if self.delays_removals(now) {
             return;
         }
-        for (key, revision) in self.delayed_removals.drain() {
+        for (key, revision) in self.delayed_removals.drain(..) {
             updates.push(Update::Removed { key, revision });
         }
     }
@@ -164,9 +190,12 @@
         let watch_wait = self.options.watch_wait;
         match self.recovered_at {
             Some(at) if self.delays_removals(now) => {
-                let elapsed = now.since(at);
-                let remaining = self.options.removal_delay.as_micros() - elapsed.as_micros();
-                watch_wait.min(Duration::from_micros(remaining.max(1_000)))
+                // In a second outage the delay after the first may be over.
+                let remaining = (at + self.options.removal_delay).since(now);
+                match remaining {
+                    Duration::ZERO => watch_wait,
+                    remaining => watch_wait.min(remaining.max(MIN_WATCH_WAIT)),
+                }
             }
             _ => watch_wait,
         }
@@ -256,7 +285,7 @@
         }
         match item.value {
             Some(value) => {
-                self.delayed_removals.remove(&item.key);
+                self.delayed_removals.shift_remove(&item.key);
                 self.revisions.insert(item.key.clone(), item.revision);
                 updates.push(Update::Written {
                     key: item.key,
@@ -269,7 +298,7 @@
     }
 
     fn delay_removal(&mut self, key: String, revision: u64) {
-        if self.revisions.remove(&key).is_some() {
+        if self.revisions.swap_remove(&key).is_some() {
             self.delayed_removals.insert(key, revision);
         }
     }
--- a/crates/cicadaweir-core/tests/mirror/copy.rs
+++ b/crates/cicadaweir-core/tests/mirror/copy.rs
@@ -159,6 +159,53 @@
     );
 }
 
+// The wait of the next watch underflowed when a second outage began long after
+// the first had ended.
+#[test]
+fn a_second_outage_does_not_shorten_the_watch() {
+    let mut mirror = complete_mirror();
+    respond(&mut mirror, 1_000, StoreResponse::Failed);
+    respond(&mut mirror, 2_000, events(vec![], 5));
+    let later = 2_000 + Options::default().removal_delay.as_millis() + 500;
+    respond(&mut mirror, later, StoreResponse::Failed);
+    mirror.end_backoff();
+    let expected = Call::Watch {
+        after: 5,
+        wait: Options::default().watch_wait,
+    };
+    assert_eq!(mirror.next_call(ms(later + 100)), expected);
+}
+
+// Removals after an outage were reported in the order of a hash map, so that the
+// same day was not reproducible.
+#[test]
+fn delayed_removals_are_reported_in_the_order_of_their_arrival() {
+    let mut mirror = Mirror::new(Options::default(), 1);
+    let keys: Vec<String> = (0..200).map(|n| format!("k{}", n * 7919 % 200)).collect();
+    let items = keys.iter().map(|key| item(key, 1)).collect();
+    respond(&mut mirror, 0, page(items, 5));
+    respond(&mut mirror, 1_000, StoreResponse::Failed);
+    let removals = keys.iter().zip(6..).map(|(key, at)| removal(key, at));
+    respond(&mut mirror, 2_000, events(removals.collect(), 300));
+    let mut reported = respond(&mut mirror, 9_000, events(vec![], 300));
+    assert_eq!(reported.remove(0), "current");
+    let expected: Vec<String> = keys.iter().map(|key| format!("-{key}")).collect();
+    assert_eq!(reported, expected);
+}
+
+#[test]
+fn keys_missing_from_a_read_are_reported_in_the_order_of_their_arrival() {
+    let mut mirror = Mirror::new(Options::default(), 1);
+    let keys: Vec<String> = (0..200).map(|n| format!("k{}", n * 7919 % 200)).collect();
+    let items = keys.iter().map(|key| item(key, 1)).collect();
+    respond(&mut mirror, 0, page(items, 5));
+    respond(&mut mirror, 1, StoreResponse::Compacted);
+    let mut reported = respond(&mut mirror, 2, page(vec![], 9));
+    assert_eq!(reported.remove(0), "current");
+    let expected: Vec<String> = keys.iter().map(|key| format!("-{key}")).collect();
+    assert_eq!(reported, expected);
+}
+
 #[test]
 fn repeated_failures_grow_the_backoff_up_to_its_limit() {
     let mut mirror = complete_mirror();
--- a/crates/cicadaweir-core/tests/mirror/main.rs
+++ b/crates/cicadaweir-core/tests/mirror/main.rs
@@ -3,4 +3,6 @@
 mod copy;
 mod log;
 mod reach;
+mod relay;
+mod restart;
 mod sources;
--- a/crates/cicadaweir/src/steered.rs
+++ b/crates/cicadaweir/src/steered.rs
@@ -75,18 +75,22 @@
     let mut after = None;
     loop {
         let page = client.range("", after.as_deref(), false);
+        let mut page = page.map_err(Error::Store)?;
         let StoreResponse::Page {
             items, has_more, ..
-        } = page.map_err(Error::Store)?
+        } = page.response
         else {
             return Ok(directory);
         };
         for item in &items {
             let value = item.value.as_deref().unwrap_or_default();
-            if let Some(change) = decode_change(&item.key, value) {
+            if let Some(change) = decode_change(&item.key, value, &mut page.rejected) {
                 directory.apply(Instant::START, change);
             }
         }
+        for rejection in &page.rejected {
+            rejection.log();
+        }
         after = items.last().map(|item| item.key.clone());
         if !has_more || after.is_none() {
             return Ok(directory);
--- a/crates/cicadaweird/src/lib.rs
+++ b/crates/cicadaweird/src/lib.rs
@@ -12,6 +12,8 @@
 //! | [`daemon`] | the Geneve event loop around the core: events in, actions out |
 //! | [`steered`] | the event loop for packets that name their target in a cookie |
 //! | [`logs`] | log output through a bounded queue, without blocking |
+//! | [`clock`] | the clock of the core's decisions |
+//! | [`threads`] | threads whose panics are reported |
 //! | [`event_loop`] | running a `stakker` loop until it shuts down |
 //! | [`signals`] | signals as inputs of an event loop |
 //! | [`planned_stop`] | deciding when a planned stop is complete |
@@ -28,6 +30,7 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod clock;
 pub mod control;
 pub mod daemon;
 pub mod event_loop;
@@ -43,5 +46,6 @@
 pub mod signals;
 pub mod socket;
 pub mod steered;
+pub mod threads;
 pub mod tracing;
 pub mod tunnel;
--- a/crates/cicadaweird/src/logs/rate_limit.rs
+++ b/crates/cicadaweird/src/logs/rate_limit.rs
@@ -20,17 +20,20 @@
     Drop,
     /// A target was suspected or cleared of suspicion.
     Suspicion,
+    /// A value of the store was rejected.
+    Rejected,
 }
 
 impl LineKind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Opening,
         Self::Adopted,
         Self::Retransmitted,
         Self::Reset,
         Self::Drop,
         Self::Suspicion,
+        Self::Rejected,
     ];
 
     /// Returns the kind's name in log lines.
@@ -42,6 +45,7 @@
             Self::Reset => "reset",
             Self::Drop => "drop",
             Self::Suspicion => "belief",
+            Self::Rejected => "rejected",
         }
     }
 }
--- a/crates/cicadaweird/src/main.rs
+++ b/crates/cicadaweird/src/main.rs
@@ -12,7 +12,7 @@
     daemon, inbox, logs,
     settings::Carrier,
     signals::{self, SignalRequest},
-    steered,
+    steered, threads,
 };
 use log::{error, info};
 
@@ -37,6 +37,7 @@
 fn main() -> ExitCode {
     let arguments = arguments().run();
     let log = logs::start();
+    threads::log_panics();
     let settings = match Carrier::load(&arguments.settings) {
         Ok(settings) => settings,
         Err(err) => {
--- a/crates/cicadaweird/src/steered.rs
+++ b/crates/cicadaweird/src/steered.rs
@@ -23,8 +23,8 @@
 mod run;
 mod seeds;
 
-pub use changes::decode_change;
-pub use client::{FeedClient, FeedResponse, FeedWatch, StoreClient, StoreError};
+pub use changes::{Rejection, RejectionKind, decode_change};
+pub use client::{FeedClient, FeedResponse, FeedWatch, StoreAnswer, StoreClient, StoreError};
 pub use engine::Engine;
 pub use feed::Feed;
 pub use follow::{Follower, StoreUpdate};
--- a/crates/cicadaweird/src/steered/client.rs
+++ b/crates/cicadaweird/src/steered/client.rs
@@ -3,13 +3,18 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
 use cicadaweir_core::mirror::{Item, StoreResponse};
-use cicadaweir_platform::store::{self, Event};
+use cicadaweir_platform::{
+    records,
+    store::{self, Event},
+};
 use cicadaweir_proto::{
     feed::{AFTER_PATH, ALL_PATH, FeedBody},
     query::percent_encode,
 };
 use ureq::Agent;
 
+use super::changes::{Rejection, RejectionKind};
+
 /// The timeout of connecting and of sending a request: several times the store's
 /// usual response time.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -39,6 +44,8 @@
     Status(u16),
     /// The response can't be decoded, or is too old; the cause is given.
     Malformed(String),
+    /// The response body has more bytes than the given limit.
+    TooLarge(u64),
 }
 
 impl fmt::Display for StoreError {
@@ -47,12 +54,24 @@
             Self::Unavailable(why) => write!(f, "no response: {why}"),
             Self::Status(code) => write!(f, "unexpected status {code}"),
             Self::Malformed(why) => f.write_str(why),
+            Self::TooLarge(limit) => {
+                write!(f, "response body too large, expected at most {limit} bytes")
+            }
         }
     }
 }
 
 impl std::error::Error for StoreError {}
 
+/// A response of the store, with the items that can't be decoded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreAnswer {
+    /// The response without these items.
+    pub response: StoreResponse,
+    /// The items that can't be decoded.
+    pub rejected: Vec<Rejection>,
+}
+
 /// A client of the store.
 #[derive(Debug, Clone)]
 pub struct StoreClient {
@@ -189,23 +208,29 @@
         prefix: &str,
         after: Option<&str>,
         stale: bool,
-    ) -> Result<StoreResponse, StoreError> {
+    ) -> Result<StoreAnswer, StoreError> {
         let path = store::range_path(prefix, after, stale);
         let (status, body) = self.get(&path, READ_TIMEOUT)?;
         if status != 200 {
             return Err(StoreError::Status(status));
         }
         let page = store::decode_page(&body).map_err(malformed)?;
-        Ok(StoreResponse::Page {
-            items: page.items.into_iter().map(item_from).collect(),
-            has_more: page.has_more,
-            as_of: page.as_of,
+        Ok(StoreAnswer {
+            response: StoreResponse::Page {
+                items: page.items.into_iter().map(item_from).collect(),
+                has_more: page.has_more,
+                as_of: page.as_of,
+            },
+            rejected: page.skipped.into_iter().map(rejection).collect(),
         })
     }
 
     /// Waits up to `wait` for changes of the keys that begin with `prefix` after a
     /// revision.
     ///
+    /// Changes that are too large for one response count as compacted: a watch after
+    /// the same revision would fail again, while a read of all keys has pages.
+    ///
     /// # Errors
     ///
     /// Returns a [`StoreError`] if the store did not respond, or not as expected.
@@ -214,18 +239,35 @@
         prefix: &str,
         after: u64,
         wait: Duration,
-    ) -> Result<StoreResponse, StoreError> {
+    ) -> Result<StoreAnswer, StoreError> {
         let path = store::watch_path(prefix, after, wait.as_millis() as u64);
-        let (status, body) = self.get(&path, wait + WATCH_TIMEOUT_MARGIN)?;
+        let compacted = |rejected| StoreAnswer {
+            response: StoreResponse::Compacted,
+            rejected,
+        };
+        let (status, body) = match self.get(&path, wait + WATCH_TIMEOUT_MARGIN) {
+            Err(err @ StoreError::TooLarge(_)) => {
+                let rejection = Rejection {
+                    kind: RejectionKind::Item,
+                    key: None,
+                    reason: err.to_string(),
+                };
+                return Ok(compacted(vec![rejection]));
+            }
+            result => result?,
+        };
         match status {
             200 => {}
-            410 => return Ok(StoreResponse::Compacted),
+            410 => return Ok(compacted(Vec::new())),
             status => return Err(StoreError::Status(status)),
         }
         let events = store::decode_events(&body).map_err(malformed)?;
-        Ok(StoreResponse::Events {
-            items: events.events.into_iter().map(item_from_event).collect(),
-            as_of: events.as_of,
+        Ok(StoreAnswer {
+            response: StoreResponse::Events {
+                items: events.events.into_iter().map(item_from_event).collect(),
+                as_of: events.as_of,
+            },
+            rejected: events.skipped.into_iter().map(rejection).collect(),
         })
     }
 
@@ -255,7 +297,10 @@
     let mut response = req.call().map_err(unavailable)?;
     let status = response.status().as_u16();
     let reader = response.body_mut().with_config().limit(MAX_BODY_BYTES);
-    let body = reader.read_to_vec().map_err(unavailable)?;
+    let body = reader.read_to_vec().map_err(|err| match err {
+        ureq::Error::BodyExceedsLimit(limit) => StoreError::TooLarge(limit),
+        err => unavailable(err),
+    })?;
     Ok((status, body))
 }
 
@@ -267,10 +312,25 @@
     StoreError::Malformed(err.to_string())
 }
 
+fn rejection(skipped: store::SkippedItem) -> Rejection {
+    Rejection {
+        kind: RejectionKind::Item,
+        key: skipped.key,
+        reason: skipped.reason,
+    }
+}
+
+/// Returns an item as the core keeps it: values that no decoder accepts don't take
+/// up memory, here and at the entry VMs that follow this one.
 fn item_from(item: store::Item) -> Item {
+    let value = if records::is_relevant(&item.key, &item.value) {
+        item.value
+    } else {
+        Vec::new()
+    };
     Item {
         key: item.key,
-        value: Some(item.value),
+        value: Some(value),
         revision: item.revision,
     }
 }
--- a/crates/cicadaweird/src/steered/engine.rs
+++ b/crates/cicadaweird/src/steered/engine.rs
@@ -23,6 +23,7 @@
 use log::{debug, info, warn};
 
 use crate::{
+    clock,
     logs::{LineKind, RateLimiter},
     planned_stop::PlannedStop,
     pool::Pool,
@@ -54,10 +55,9 @@
     pool: Pool,
     buf: Vec<u8>,
     rng_seed: u64,
-    started: Instant,
     /// The time of the last call of [`Engine::update_clock`].
     clock: Instant,
-    /// The same time for the core, counted from the start of the daemon.
+    /// The same time for the core.
     now: time::Instant,
     next_metrics: Instant,
     next_reload: Instant,
@@ -91,9 +91,8 @@
             pool: Pool::new(options.max_pending as u32),
             buf: Vec::with_capacity(MAX_DATAGRAM_BYTES),
             rng_seed,
-            started: clock,
             clock,
-            now: time::Instant::START,
+            now: clock::now(),
             next_metrics: clock,
             next_reload: clock + RELOAD_INTERVAL,
             rejection: None,
@@ -131,8 +130,7 @@
     /// that depend on the time.
     pub fn update_clock(&mut self) {
         self.clock = Instant::now();
-        let elapsed = self.clock.duration_since(self.started);
-        self.now = time::Instant::from_micros(elapsed.as_micros() as u64);
+        self.now = clock::now();
     }
 
     /// Handles a datagram from the platform's routers.
@@ -209,8 +207,7 @@
             self.steering.mark_store_read();
         }
         if update.current {
-            let age = time::Duration::from_micros(update.age.as_micros() as u64);
-            self.steering.record_store_view(self.now - age);
+            self.steering.record_store_view(update.viewed_at);
         }
         self.update_readiness();
     }
--- a/crates/cicadaweird/src/steered/follow.rs
+++ b/crates/cicadaweird/src/steered/follow.rs
@@ -9,7 +9,7 @@
 
 use cicadaweir_core::{
     mirror::{
-        Call, Mirror, Options, Role, Selection, Source, SourceSelector, StoreResponse, Update,
+        self, Call, Mirror, Options, Role, Selection, Source, SourceSelector, StoreResponse, Update,
     },
     steer::Change,
     time,
@@ -17,8 +17,13 @@
 use cicadaweir_platform::records::TARGETS_PREFIX;
 use log::{debug, info, warn};
 
+use crate::{
+    clock,
+    logs::{LineKind, RateLimiter},
+};
+
 use super::{
-    Feed, FeedClient, FeedResponse, FeedWatch, Inbox, Input, Meters, Seeds, StoreClient,
+    Feed, FeedClient, FeedResponse, FeedWatch, Inbox, Input, Meters, Rejection, Seeds, StoreClient,
     StoreError, decode_change,
 };
 
@@ -26,11 +31,6 @@
 /// covers the whole store.
 const PREFIX: &str = "";
 
-/// The largest accepted age of another entry VM's view of the store. It covers the
-/// watches along a chain of entry VMs; an older view suggests that two entry VMs
-/// follow each other.
-const MAX_PEER_VIEW_AGE: Duration = Duration::from_millis(3_200);
-
 /// The largest number of entry VMs queried in one chain of redirects: a seed, the
 /// first follower of this entry VM's zone, and two more for zones with over a
 /// thousand entry VMs.
@@ -53,8 +53,8 @@
     pub complete: bool,
     /// Whether the view now matches the store's current state.
     pub current: bool,
-    /// The time since the store sent the data, directly or through other entry VMs.
-    pub age: Duration,
+    /// When the store sent the data, directly or through other entry VMs.
+    pub viewed_at: time::Instant,
     /// The store's revision up to which all changes are included.
     pub revision: u64,
 }
@@ -73,16 +73,20 @@
     pub own: SocketAddr,
     /// The seed for random numbers; differs between daemons.
     pub rng_seed: u64,
+    /// Log lines per second about rejected values.
+    pub log_lines: u32,
     /// The metrics that count requests.
     pub meters: Arc<Meters>,
     /// The inputs of the event loop.
     pub inbox: Inbox,
 }
 
-/// A response with the time at which the store sent the data.
+/// A response with the time at which the store sent the data, at the earliest.
 struct Received {
     response: StoreResponse,
-    sent_at: Instant,
+    sent_at: time::Instant,
+    /// The items that can't be decoded.
+    rejected: Vec<Rejection>,
 }
 
 /// The sources that a follower queries, for one set of configured seeds.
@@ -113,8 +117,8 @@
 impl Follower {
     /// Follows the store until the event loop has ended.
     pub fn run(&self) {
-        let start = Instant::now();
-        let now = || time::Instant::from_micros(start.elapsed().as_micros() as u64);
+        let now = clock::now;
+        let mut limiter = RateLimiter::new(self.log_lines, Instant::now());
         let mut sources = SourceSet::new(self.seeds.peers(), self.rng_seed);
         let mut mirror = Mirror::new(Options::default(), self.rng_seed);
         let mut updates = Vec::new();
@@ -139,13 +143,13 @@
             if let Some(at) = last_change_at {
                 thread::sleep(watch_delay(source).saturating_sub(at.elapsed()));
             }
-            let requested_at = Instant::now();
+            let requested_at = now();
             let result = self.query(source, &mut sources, &call);
             let response = result
                 .as_ref()
                 .map_or(&StoreResponse::Failed, |received| &received.response);
             self.meters
-                .record_call(source, &call, response, requested_at.elapsed());
+                .record_call(source, &call, response, now().since(requested_at));
             let has_lost_all = sources
                 .selector
                 .record_result(now(), source, result.is_ok());
@@ -175,18 +179,42 @@
             {
                 last_change_at = Some(Instant::now());
             }
-            self.feed.record(&received.response, received.sent_at);
+            let is_stale = !from_peer && matches!(call, Call::Range { stale: true, .. });
+            let confirmed_at = (!is_stale).then_some(received.sent_at);
+            self.feed.record(&received.response, confirmed_at);
             mirror.handle_response(now(), received.response, &mut updates);
-            if updates.is_empty() {
+            let mut rejected = received.rejected;
+            let update = store_update(
+                &mut updates,
+                received.sent_at,
+                mirror.revision(),
+                &mut rejected,
+            );
+            self.report(&rejected, &mut limiter);
+            if update.is_empty() {
                 continue;
             }
-            let update = store_update(&mut updates, received.sent_at.elapsed(), mirror.revision());
             if !self.inbox.send(Input::StoreUpdate(update)) {
                 return;
             }
         }
     }
 
+    /// Counts rejected values and logs them, as far as the rate limit allows.
+    fn report(&self, rejected: &[Rejection], limiter: &mut RateLimiter) {
+        for rejection in rejected {
+            self.meters.record_rejection(rejection.kind);
+            if limiter.allows(LineKind::Rejected, Instant::now()) {
+                rejection.log();
+            }
+        }
+        let count = limiter.take_suppressed(LineKind::Rejected);
+        if count > 0 {
+            let kind = LineKind::Rejected.name();
+            info!(kind, count; "log lines suppressed by the rate limit");
+        }
+    }
+
     /// Resets the sources if a reload has replaced the configured seeds.
     fn apply_seeds(&self, sources: &mut SourceSet) {
         let current = self.seeds.peers();
@@ -224,17 +252,23 @@
     }
 
     fn query_store(&self, call: &Call) -> Result<Received, StoreError> {
-        let response = match call {
-            Call::Range { after, stale } => self.store.range(PREFIX, after.as_deref(), *stale),
+        let requested_at = clock::now();
+        let (answer, wait) = match call {
+            Call::Range { after, stale } => {
+                let page = self.store.range(PREFIX, after.as_deref(), *stale);
+                (page?, time::Duration::ZERO)
+            }
             Call::Watch { after, wait } => {
-                let wait = Duration::from_micros(wait.as_micros());
-                self.store.watch(PREFIX, *after, wait)
+                let wait = (*wait).min(Options::default().store_watch_wait);
+                let span = Duration::from_micros(wait.as_micros());
+                (self.store.watch(PREFIX, *after, span)?, wait)
             }
-            Call::Backoff(_) => Ok(StoreResponse::Failed),
+            Call::Backoff(_) => return Err(StoreError::Unavailable("no call was due".to_owned())),
         };
-        response.map(|response| Received {
-            response,
-            sent_at: Instant::now(),
+        Ok(Received {
+            response: answer.response,
+            sent_at: mirror::sent_at(requested_at, wait, clock::now(), time::Duration::ZERO),
+            rejected: answer.rejected,
         })
     }
 
@@ -244,22 +278,31 @@
         peer: &mut SocketAddr,
         watch: Option<FeedWatch>,
     ) -> Result<Received, StoreError> {
+        let requested_at = clock::now();
+        let wait = watch.map_or(Duration::ZERO, |watch| watch.wait);
         let response = match watch {
             Some(watch) => self.watch_peer(peer, watch)?,
             None => self.peers.read_all(*peer)?,
         };
-        if response.age > MAX_PEER_VIEW_AGE {
-            let age_ms = response.age.as_millis();
+        let (received_at, max_age) = (clock::now(), Options::default().max_view_age);
+        let sent_at = mirror::sent_at(
+            requested_at,
+            time::Duration::from_micros(wait.as_micros() as u64),
+            received_at,
+            time::Duration::from_micros(response.age.as_micros() as u64),
+        );
+        let age = received_at.since(sent_at);
+        if age > max_age {
             return Err(StoreError::Malformed(format!(
-                "stale view: {age_ms} ms old, expected at most {} ms",
-                MAX_PEER_VIEW_AGE.as_millis()
+                "stale view: {} ms old, expected at most {} ms",
+                age.as_millis(),
+                max_age.as_millis()
             )));
         }
         Ok(Received {
             response: response.response,
-            sent_at: Instant::now()
-                .checked_sub(response.age)
-                .unwrap_or_else(Instant::now),
+            sent_at,
+            rejected: Vec::new(),
         })
     }
 
@@ -320,20 +363,35 @@
     }
 }
 
+impl StoreUpdate {
+    /// Returns whether there is nothing to apply.
+    fn is_empty(&self) -> bool {
+        self.changes.is_empty() && !self.complete && !self.current
+    }
+}
+
 /// Builds the input of the event loop from the mirror's updates, and clears them.
-fn store_update(updates: &mut Vec<Update>, age: Duration, revision: u64) -> StoreUpdate {
+/// Values that can't be used are appended to `rejected`.
+fn store_update(
+    updates: &mut Vec<Update>,
+    viewed_at: time::Instant,
+    revision: u64,
+    rejected: &mut Vec<Rejection>,
+) -> StoreUpdate {
     let mut batch = StoreUpdate {
         changes: Vec::new(),
         complete: false,
         current: false,
-        age,
+        viewed_at,
         revision,
     };
     for update in updates.drain(..) {
         match update {
             Update::Complete => batch.complete = true,
             Update::Current => batch.current = true,
-            Update::Written { key, value, .. } => batch.changes.extend(decode_change(&key, &value)),
+            Update::Written { key, value, .. } => {
+                batch.changes.extend(decode_change(&key, &value, rejected));
+            }
             Update::Removed { key, .. } => {
                 if let Some(name) = key.strip_prefix(TARGETS_PREFIX) {
                     batch
--- a/crates/cicadaweird/src/steered/meters.rs
+++ b/crates/cicadaweird/src/steered/meters.rs
@@ -1,13 +1,11 @@
 //! The daemon's metrics, encoded as text in the OpenMetrics format.
 
-use std::{
-    sync::{Mutex, PoisonError},
-    time::Duration,
-};
+use std::sync::{Mutex, PoisonError};
 
 use cicadaweir_core::{
     mirror::{Call, Source, StoreResponse},
     steer::{Counters, Observation},
+    time,
 };
 use log::error;
 use prometheus_client::{
@@ -21,6 +19,8 @@
     registry::Registry,
 };
 
+use super::RejectionKind;
+
 type Labels = Vec<(&'static str, &'static str)>;
 
 /// The number of buckets of a histogram. Their upper bounds double from 1 ms to
@@ -39,6 +39,7 @@
     request_time: Histogram,
     store_calls: Family<Labels, Counter>,
     store_time: Histogram,
+    rejected: Family<Labels, Counter>,
     /// The counters as of the last call of [`Meters::add_decisions`].
     last_counters: Mutex<Counters>,
 }
@@ -56,6 +57,7 @@
             request_time: Histogram::new(buckets()),
             store_calls: Family::default(),
             store_time: Histogram::new(buckets()),
+            rejected: Family::default(),
             last_counters: Mutex::default(),
         };
         this.register();
@@ -88,6 +90,11 @@
             "Seconds from the request to the response of a range read",
             self.store_time.clone(),
         );
+        r.register(
+            "store_values_rejected",
+            "Values of the store that can't be used",
+            self.rejected.clone(),
+        );
     }
 
     /// Returns all metrics as text in the OpenMetrics format.
@@ -105,7 +112,7 @@
         source: Source,
         call: &Call,
         response: &StoreResponse,
-        elapsed: Duration,
+        elapsed: time::Duration,
     ) {
         let kind = match call {
             Call::Range { stale: true, .. } => "stale_read",
@@ -129,6 +136,12 @@
         }
     }
 
+    /// Counts a value of the store that can't be used.
+    pub fn record_rejection(&self, kind: RejectionKind) {
+        let labels = vec![("kind", kind.name())];
+        self.rejected.get_or_create(&labels).inc();
+    }
+
     /// Records the durations in an observation of the core.
     pub fn record_observation(&self, observation: &Observation) {
         match observation {
--- a/crates/cicadaweird/src/steered/run.rs
+++ b/crates/cicadaweird/src/steered/run.rs
@@ -2,8 +2,10 @@
 
 use std::{
     io,
-    sync::{Arc, mpsc::Receiver},
-    thread,
+    sync::{
+        Arc,
+        mpsc::{Receiver, Sender},
+    },
     time::{Duration, Instant},
 };
 
@@ -20,6 +22,7 @@
     inbox,
     settings::CookieSettings,
     socket::{Batch, BatchSocket},
+    threads,
 };
 
 use super::{Engine, Feed, FeedClient, Follower, StoreClient, StoreUpdate, endpoint};
@@ -37,6 +40,12 @@
 /// The largest number of events that one poll returns.
 const MAX_EVENTS: usize = 64;
 
+/// The name of the thread that follows the store.
+const FOLLOWER_THREAD: &str = "follower";
+
+/// The name of the thread that serves other entry VMs.
+const FEED_THREAD: &str = "feed";
+
 /// An input of the event loop from another thread.
 #[derive(Debug)]
 pub enum Input {
@@ -48,6 +57,8 @@
     Stop,
     /// Ends the process immediately.
     Abort,
+    /// A thread that the daemon can't do without has panicked.
+    Panicked(&'static str),
 }
 
 /// The sender of the event loop's inputs.
@@ -58,13 +69,14 @@
 ///
 /// # Errors
 ///
-/// Returns the operating system's error if a socket can't be bound or polled.
+/// Returns the operating system's error if a socket can't be bound or polled, or an
+/// error that names the thread if one of the daemon's threads panicked.
 pub fn run(settings: CookieSettings, path: &str, started: impl FnOnce(Inbox)) -> io::Result<()> {
     let mut stakker = Stakker::new(Instant::now());
     let s = &mut stakker;
     let mut poll = MioPoll::new(s, Poll::new()?, Events::with_capacity(MAX_EVENTS), 5)?;
     let (inbox, rx) = Inbox::new(poll.waker());
-    let (tx, startup_error) = std::sync::mpsc::channel();
+    let (tx, failure) = std::sync::mpsc::channel();
     let parts = Parts {
         settings,
         path: path.to_owned(),
@@ -74,11 +86,12 @@
     let daemon = actor!(s, Daemon::init(parts, tx), ret_shutdown!(s));
     poll.set_wake_fwd(fwd_to!([daemon], handle_inputs() as (Ready)));
     s.run(Instant::now(), false);
-    if let Ok(err) = startup_error.try_recv() {
+    if let Ok(err) = failure.try_recv() {
         return Err(err);
     }
     started(inbox);
-    run_until_shutdown(s, &poll, MAX_WAIT)
+    run_until_shutdown(s, &poll, MAX_WAIT)?;
+    failure.try_recv().map_or(Ok(()), Err)
 }
 
 /// The arguments of [`Daemon::init`].
@@ -95,30 +108,28 @@
     batch: Batch,
     engine: Engine,
     rx: Receiver<Input>,
+    /// Reports to the caller of [`run`] why the daemon ends.
+    failure: Sender<io::Error>,
     next_tick: Instant,
     /// Whether a retry of pending packets is scheduled.
     retry_scheduled: bool,
 }
 
 impl Daemon {
-    fn init(
-        cx: CX![],
-        parts: Parts,
-        startup_error: std::sync::mpsc::Sender<io::Error>,
-    ) -> Option<Self> {
-        match Self::setup(cx, parts) {
+    fn init(cx: CX![], parts: Parts, failure: Sender<io::Error>) -> Option<Self> {
+        match Self::setup(cx, parts, failure.clone()) {
             Ok(this) => Some(this),
             Err(err) => {
                 error!("the daemon cannot start: {err}");
                 // The receiver reports the error to the caller of `run`.
-                let _ = startup_error.send(err);
+                let _ = failure.send(err);
                 stop!(cx);
                 None
             }
         }
     }
 
-    fn setup(cx: CX![], parts: Parts) -> io::Result<Self> {
+    fn setup(cx: CX![], parts: Parts, failure: Sender<io::Error>) -> io::Result<Self> {
         let listen = parts.settings.listen.clone();
         let poll = cx.anymap_get::<MioPoll>();
         let ready = fwd_to!([cx], read_packets() as (Ready));
@@ -129,17 +140,30 @@
         for address in [listen.ready, listen.metrics] {
             endpoint::start(address, engine.readiness(), Arc::clone(&meters))?;
         }
+        let on_panic = |name| {
+            let inbox = parts.inbox.clone();
+            move || {
+                inbox.send(Input::Panicked(name));
+            }
+        };
         let follower = Follower {
             store: StoreClient::new(engine.settings().store.address),
             peers: FeedClient::new(listen.peer, &engine.settings().member.zone),
-            feed: Feed::start(listen.peer, &engine.settings().member.zone)?,
+            feed: Feed::start(
+                listen.peer,
+                &engine.settings().member.zone,
+                on_panic(FEED_THREAD),
+            )?,
             seeds: engine.seeds(),
             own: listen.peer,
             rng_seed: engine.rng_seed(),
+            log_lines: engine.settings().limits.log_lines,
             meters,
-            inbox: parts.inbox,
+            inbox: parts.inbox.clone(),
         };
-        thread::spawn(move || follower.run());
+        threads::spawn(FOLLOWER_THREAD, on_panic(FOLLOWER_THREAD), move || {
+            follower.run()
+        });
         let settings = engine.settings();
         info!(
             member = settings.member.name,
@@ -154,6 +178,7 @@
             batch,
             engine,
             rx: parts.rx,
+            failure,
             next_tick: cx.now() + TICK_INTERVAL,
             retry_scheduled: false,
         })
@@ -181,6 +206,12 @@
                 Input::Reload => self.engine.reload(true),
                 Input::Stop => self.engine.stop(),
                 Input::Abort => return stop!(cx),
+                Input::Panicked(name) => {
+                    let err = io::Error::other(format!("thread {name} panicked"));
+                    // The receiver lives as long as the event loop.
+                    let _ = self.failure.send(err);
+                    return stop!(cx);
+                }
             }
         }
         self.engine.process_pending(&self.packets);
--- a/crates/cicadaweird/tests/steered/store.rs
+++ b/crates/cicadaweird/tests/steered/store.rs
@@ -100,6 +100,45 @@
     assert_eq!(target, 1);
 }
 
+// Another writer's odd entries, in bulk: the daemon goes on following the store,
+// its log stays bounded, and a counter tells how many there were.
+#[test]
+fn odd_entries_neither_stop_a_daemon_nor_flood_its_log() {
+    let site = Site::start(PROGRAM, 18, 1);
+    let daemon = site.daemon(1, &[1]);
+    site.wait_ready(&daemon);
+    let nested = format!("{}{}", "[".repeat(50_000), "]".repeat(50_000));
+    let entry = |slots: &str, warmup: &str, address: &str| {
+        format!(
+            r#"{{"service":"classes","address":"{address}","zone":"a","version":"v1",
+            "slots":{slots},"state":"ready","warmupLeftMs":{warmup},"seq":1,"born":1}}"#
+        )
+    };
+    let odd = [
+        entry("2", &nested, "127.90.18.101:8602"),
+        entry("4294967295", "0", "127.90.18.101:8602"),
+        entry("2", "1e300", "127.90.18.101:8602"),
+        entry("2", "0", "127.90.18.101:99999"),
+    ];
+    for n in 0..400 {
+        let value = &odd[n % odd.len()];
+        site.store.put(
+            &format!("servers/i-{:x}", 0xabc0_0000u64 + n as u64),
+            value.as_bytes(),
+        );
+    }
+    site.put_config(5, &[ROUTE_PORT, 81]);
+    site.wait_version(&daemon, 5.0);
+    let metric = r#"cicadaweir_store_values_rejected_total{kind="target"}"#;
+    wait_until("all odd entries are counted", || {
+        site.metric(&daemon, metric) == Some(400.0)
+    });
+    daemon.wait_line(&["target entry rejected"]);
+    daemon.wait_line(&["log lines suppressed by the rate limit", "kind=rejected"]);
+    let (target, _) = site.send_until_delivered(&daemon, &packet(8, ROUTE_PORT, SYN, 0, &[]));
+    assert_eq!(target, 1);
+}
+
 #[test]
 fn a_daemon_is_not_ready_until_the_store_is_available() {
     let site = Site::start(PROGRAM, 17, 1);
