--- a/crates/cicadaweir-core/src/steer.rs
+++ b/crates/cicadaweir-core/src/steer.rs
@@ -11,6 +11,7 @@
 //! |---|---|
 //! | [`Directory`] | the known routes and targets, and the target of each cookie |
 //! | [`Flows`] | the state of flows, from their callers' packets |
+//! | [`ConcurrencyLimit`] | how many requests of a service may be in flight from this entry VM |
 //! | [`ZoneAffinity`] | how strongly flows are kept in the local availability zone |
 //! | [`ResponseTimes`] | the slowdown of a service in an availability zone |
 //! | [`TargetLoad`] | the load of a target, from its callers' packets |
@@ -18,6 +19,7 @@
 //! | [`PendingPackets`] | the queue of packets that can't be decided yet |
 //! | [`Steering`] | the decision on each packet, from all of the above |
 
+mod admission;
 mod affinity;
 mod cookie;
 mod counters;
@@ -37,15 +39,16 @@
 mod verdict;
 mod zones;
 
+pub use admission::{AdmissionOptions, ConcurrencyLimit, LimitPolicy};
 pub use affinity::ZoneAffinity;
 pub use cookie::{Cookie, Identity};
 pub use counters::Counters;
-pub use directory::{Applied, Change, Directory, Presence, TargetEntry};
+pub use directory::{Applied, Change, Directory, Presence, RouteMatch, TargetEntry};
 pub use flows::{Expired, FlowPhase, FlowState, Flows, Progress};
 pub use load::TargetLoad;
 pub use observation::Observation;
 pub use options::Options;
-pub use pending::{PendingPacket, PendingPackets};
+pub use pending::{Fate, OpeningClass, PendingPacket, PendingPackets};
 pub use placement::{Candidate, choose};
 pub use response_times::ResponseTimes;
 pub use route::{LOWEST_PRIORITY, RequestKind, Route, RouteTable};
--- /dev/null
+++ b/crates/cicadaweir-core/src/steer/admission.rs
@@ -0,0 +1,294 @@
+//! Admission of openings: how many requests of a service may be in flight from
+//! this entry VM.
+//!
+//! Load pattern: many callers come at once, or all come back after an outage, and
+//! ask for several times what the targets complete. Targets queue a few requests
+//! and reject the rest; with full queues every answer is late, and callers that
+//! come back keep the queues full after the crowd has gone.
+//!
+//! Each entry VM adjusts its limit to the response times that it sees, relative to
+//! the latency objectives of the routes. All entry VMs see the same queues of the
+//! same targets, so that no message is needed, and the limit is right for any number
+//! of entry VMs. It rises in proportion to what callers offer and falls by a factor,
+//! so that all entry VMs come to admit the same share of what they are offered.
+
+use crate::time::{Duration, Instant};
+
+/// The time constant of the decay of the offered rate.
+const OFFER_WINDOW: Duration = Duration::from_millis(500);
+
+/// The weight of a response in the mean response time.
+const MEAN_WEIGHT: f32 = 1.0 / 16.0;
+
+/// The assumed response time before the first response, in seconds.
+const INITIAL_RESPONSE_TIME: f32 = 0.05;
+
+/// The smallest limit in requests in flight.
+const MIN_LIMIT: f32 = 0.5;
+
+/// The upper bound on a response time, as a multiple of the goal.
+const MAX_RATIO: f32 = 4.0;
+
+/// How openings are limited.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub enum LimitPolicy {
+    /// Openings are never refused for load.
+    Unlimited,
+    /// A fixed number of requests in flight from this entry VM, per slot of all
+    /// targets of the service.
+    Fixed(f32),
+    /// The limit follows the ratio of the baseline response time to the present one.
+    Gradient,
+    /// The limit follows the latency objective.
+    #[default]
+    Objective,
+}
+
+/// Parameters of admission.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AdmissionOptions {
+    /// How openings are limited.
+    pub policy: LimitPolicy,
+    /// The mean response time aimed at, as a fraction of the latency objective: the
+    /// slowest requests take a multiple of the mean.
+    pub goal: f32,
+    /// The smallest number of responses on which the limit is adjusted.
+    pub min_responses: u32,
+    /// The smallest factor of one decrease.
+    pub max_decrease: f32,
+    /// The increase per second, as a fraction of the requests in flight that the
+    /// offered rate would need without queues.
+    pub increase: f32,
+    /// The factor of one increase while responses take less than
+    /// `fast_below` of the goal.
+    pub fast_increase: f32,
+    /// The fraction of the goal below which the limit rises by `fast_increase`.
+    pub fast_below: f32,
+    /// The first limit, as a fraction of the slots of all targets of the service.
+    pub initial: f32,
+    /// The longest wait of an opening for admission, as a fraction of the latency
+    /// objective.
+    pub max_wait: f32,
+}
+
+impl Default for AdmissionOptions {
+    fn default() -> Self {
+        Self {
+            policy: LimitPolicy::default(),
+            goal: 0.4,
+            min_responses: 8,
+            max_decrease: 0.6,
+            increase: 0.5,
+            fast_increase: 1.5,
+            fast_below: 0.75,
+            initial: 0.25,
+            max_wait: 0.25,
+        }
+    }
+}
+
+/// The responses since the last adjustment.
+#[derive(Debug, Clone, Copy, Default)]
+struct Batch {
+    responses: u32,
+    /// The sum of the response times, as multiples of the goal.
+    ratios: f32,
+    /// The largest of them, which is left out: a few requests take many times as
+    /// long as the others at any load.
+    largest: f32,
+    since: Instant,
+    /// The most requests in flight.
+    peak: u32,
+    /// Whether openings had to wait or were refused.
+    was_limited: bool,
+}
+
+/// How many requests of one service may be in flight from this entry VM.
+#[derive(Debug, Clone, Copy)]
+pub struct ConcurrencyLimit {
+    limit: f32,
+    slots: u32,
+    /// The mean response time in seconds.
+    mean: f32,
+    /// The lowest mean so far in seconds; it follows a higher one slowly.
+    baseline: f32,
+    responses: u64,
+    batch: Batch,
+    /// When the limit last fell. Responses to earlier requests show the queues that
+    /// it was meant to shorten.
+    decreased_at: Instant,
+    /// Openings of about the last [`OFFER_WINDOW`].
+    offered: f32,
+    offered_at: Instant,
+    admitted_at: Option<Instant>,
+    refused_at: Option<Instant>,
+}
+
+impl Default for ConcurrencyLimit {
+    fn default() -> Self {
+        Self {
+            limit: 0.0,
+            slots: 0,
+            mean: INITIAL_RESPONSE_TIME,
+            baseline: INITIAL_RESPONSE_TIME,
+            responses: 0,
+            batch: Batch::default(),
+            decreased_at: Instant::START,
+            offered: 0.0,
+            offered_at: Instant::START,
+            admitted_at: None,
+            refused_at: None,
+        }
+    }
+}
+
+impl ConcurrencyLimit {
+    /// Sets the slots of all targets of the service. The first time it sets the
+    /// limit too.
+    pub fn set_slots(&mut self, options: &AdmissionOptions, slots: u32) {
+        let first = slots as f32 * options.initial;
+        if self.slots == 0 || first < self.limit && self.responses == 0 {
+            self.limit = first.max(1.0);
+        }
+        self.limit = self
+            .limit
+            .max(if self.responses == 0 { first } else { 0.0 });
+        self.slots = slots;
+    }
+
+    /// Returns the limit in requests in flight.
+    pub fn limit(&self, options: &AdmissionOptions) -> f32 {
+        match options.policy {
+            LimitPolicy::Unlimited => f32::INFINITY,
+            LimitPolicy::Fixed(per_slot) => per_slot * self.slots as f32,
+            LimitPolicy::Gradient | LimitPolicy::Objective => self.limit,
+        }
+    }
+
+    /// Returns the mean response time.
+    pub fn response_time(&self) -> Duration {
+        Duration::from_micros((self.mean * 1e6) as u64)
+    }
+
+    /// Returns whether an opening may be placed while `in_flight` requests are in
+    /// flight. A limit below one spaces openings out.
+    pub fn allows(&self, options: &AdmissionOptions, now: Instant, in_flight: u32) -> bool {
+        let limit = self.limit(options);
+        if limit >= 1.0 {
+            return (in_flight + 1) as f32 <= limit;
+        }
+        let gap = Duration::from_micros((self.mean / limit * 1e6) as u64);
+        in_flight == 0 && self.admitted_at.is_none_or(|at| now.since(at) >= gap)
+    }
+
+    /// Returns how long an opening is expected to wait behind `queued` others.
+    pub fn expected_wait(&self, options: &AdmissionOptions, queued: usize) -> Duration {
+        let limit = self.limit(options);
+        Duration::from_micros(((queued + 1) as f32 * self.mean / limit * 1e6) as u64)
+    }
+
+    /// Returns the longest wait of an opening with a latency objective.
+    pub fn max_wait(options: &AdmissionOptions, aim: Option<Duration>, most: Duration) -> Duration {
+        aim.map_or(most, |aim| {
+            Duration::from_micros((aim.as_micros() as f32 * options.max_wait) as u64).min(most)
+        })
+    }
+
+    /// Counts an opening that was offered.
+    pub fn record_offer(&mut self, now: Instant) {
+        self.offered = self.offered_in_window(now) + 1.0;
+        self.offered_at = now;
+    }
+
+    /// Counts an opening that was admitted, so that `in_flight` requests are in flight.
+    pub fn record_admitted(&mut self, now: Instant, in_flight: u32) {
+        self.admitted_at = Some(now);
+        self.batch.peak = self.batch.peak.max(in_flight);
+    }
+
+    /// Records that an opening had to wait.
+    pub fn record_limited(&mut self) {
+        self.batch.was_limited = true;
+    }
+
+    /// Records that an opening was refused.
+    pub fn record_refused(&mut self, now: Instant) {
+        self.batch.was_limited = true;
+        self.refused_at = Some(now);
+    }
+
+    /// Returns when an opening was last refused.
+    pub const fn refused_at(&self) -> Option<Instant> {
+        self.refused_at
+    }
+
+    /// Records a response that took `took`, of a route with a latency objective.
+    pub fn record_response(
+        &mut self,
+        options: &AdmissionOptions,
+        now: Instant,
+        took: Duration,
+        aim: Option<Duration>,
+    ) {
+        let took = took.as_secs_f64() as f32;
+        self.responses += 1;
+        if self.responses == 1 {
+            self.mean = took;
+            self.baseline = took;
+        }
+        self.mean += (took - self.mean) * MEAN_WEIGHT;
+        self.baseline = if self.mean < self.baseline {
+            self.mean
+        } else {
+            self.baseline + (self.mean - self.baseline) / 4_096.0
+        };
+        let goal = match (options.policy, aim) {
+            (LimitPolicy::Objective, Some(aim)) => aim.as_secs_f64() as f32 * options.goal,
+            _ => self.baseline * 2.0,
+        };
+        let placed_at = now - Duration::from_micros((took * 1e6) as u64);
+        if placed_at < self.decreased_at {
+            return;
+        }
+        self.batch.responses += 1;
+        let ratio = (took / goal.max(f32::MIN_POSITIVE)).min(MAX_RATIO);
+        self.batch.ratios += ratio;
+        self.batch.largest = self.batch.largest.max(ratio);
+        if self.batch.responses >= options.min_responses.max(self.batch.peak) {
+            self.adjust(options, now);
+        }
+    }
+
+    fn adjust(&mut self, options: &AdmissionOptions, now: Instant) {
+        let batch = std::mem::replace(
+            &mut self.batch,
+            Batch {
+                since: now,
+                ..Batch::default()
+            },
+        );
+        let ratio = (batch.ratios - batch.largest) / (batch.responses - 1).max(1) as f32;
+        if ratio > 1.0 {
+            let used = self.limit.min(batch.peak.max(1) as f32);
+            self.limit = used * (1.0 / ratio).max(options.max_decrease);
+            self.decreased_at = now;
+        } else if batch.was_limited {
+            let needed =
+                self.offered_in_window(now) / OFFER_WINDOW.as_secs_f64() as f32 * self.baseline;
+            let span = now.since(batch.since).as_secs_f64() as f32;
+            let slow = self.limit + options.increase * needed * span.min(1.0);
+            let fast = self.limit * options.fast_increase;
+            self.limit = if ratio < options.fast_below {
+                slow.max(fast)
+            } else {
+                slow
+            };
+        }
+        self.limit = self.limit.max(MIN_LIMIT);
+    }
+
+    fn offered_in_window(&self, now: Instant) -> f32 {
+        let age = now.since(self.offered_at).as_secs_f64() / OFFER_WINDOW.as_secs_f64();
+        self.offered * (-age).exp() as f32
+    }
+}
--- a/crates/cicadaweir-core/src/steer/counters.rs
+++ b/crates/cicadaweir-core/src/steer/counters.rs
@@ -27,8 +27,14 @@
     pub drops: [u64; DropReason::ALL.len()],
     /// Packets that became pending.
     pub waits: u64,
+    /// Openings that were refused for load, by the priority of their routes, the
+    /// highest first; the last one includes all lower ones.
+    pub refusals: [u64; PRIORITIES.len()],
 }
 
+/// The priorities that are counted one by one.
+const PRIORITIES: [&str; 4] = ["priority_0", "priority_1", "priority_2", "priority_other"];
+
 impl Counters {
     /// Returns all counters as decision, detail and value, in a fixed order.
     pub fn entries(&self) -> impl Iterator<Item = (&'static str, &'static str, u64)> {
@@ -47,7 +53,19 @@
         let resets = resets.map(|(reason, count)| ("reset", reason.name(), count));
         let drops = DropReason::ALL.iter().zip(self.drops);
         let drops = drops.map(|(reason, count)| ("drop", reason.name(), count));
-        single.into_iter().chain(resets).chain(drops)
+        let refusals = PRIORITIES.iter().zip(self.refusals);
+        let refusals = refusals.map(|(priority, count)| ("refused", *priority, count));
+        single
+            .into_iter()
+            .chain(resets)
+            .chain(drops)
+            .chain(refusals)
+    }
+
+    /// Counts a refusal for load.
+    pub(super) fn record_refusal(&mut self, priority: u8) {
+        let at = usize::from(priority).min(PRIORITIES.len() - 1);
+        self.refusals[at] += 1;
     }
 
     /// Counts a verdict.
--- a/crates/cicadaweir-core/src/steer/directory.rs
+++ b/crates/cicadaweir-core/src/steer/directory.rs
@@ -77,6 +77,24 @@
 struct ResolvedRoute {
     services: Vec<(ServiceKey, u32)>,
     kind: RequestKind,
+    aim: Option<Duration>,
+    timeout: Option<Duration>,
+    priority: u8,
+}
+
+/// The route of a new flow, with the service that was selected for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RouteMatch {
+    /// The service.
+    pub service: ServiceKey,
+    /// The kind of the route's requests.
+    pub kind: RequestKind,
+    /// The latency objective of its requests.
+    pub aim: Option<Duration>,
+    /// The time after which its requests are given up.
+    pub timeout: Option<Duration>,
+    /// The priority of its requests; 0 is the highest.
+    pub priority: u8,
 }
 
 /// The routes and targets that this entry VM knows.
@@ -166,20 +184,37 @@
         self.routes.len()
     }
 
-    /// Returns the service for a new flow to an address, and the kind of its
-    /// requests; the random number `draw` selects among services that share the
-    /// route, by weight.
-    pub fn route(&self, address: &Endpoint, draw: u64) -> Option<(ServiceKey, RequestKind)> {
+    /// Returns the route of a new flow to an address; the random number `draw`
+    /// selects among services that share it, by weight.
+    pub fn route(&self, address: &Endpoint, draw: u64) -> Option<RouteMatch> {
         let route = self.routes.get(address)?;
         let total: u64 = route.services.iter().map(|s| u64::from(s.1)).sum();
         let mut offset = draw % total.max(1);
+        let mut selected = route.services.first()?.0;
         for &(service, weight) in &route.services {
             if offset < u64::from(weight) {
-                return Some((service, route.kind));
+                selected = service;
+                break;
             }
             offset -= u64::from(weight);
         }
-        route.services.first().map(|s| (s.0, route.kind))
+        Some(RouteMatch {
+            service: selected,
+            kind: route.kind,
+            aim: route.aim,
+            timeout: route.timeout,
+            priority: route.priority,
+        })
+    }
+
+    /// Returns the latency objective of the requests to an address.
+    pub fn aim(&self, address: &Endpoint) -> Option<Duration> {
+        self.routes.get(address)?.aim
+    }
+
+    /// Returns the number of known services.
+    pub fn service_count(&self) -> usize {
+        self.services.len()
     }
 
     /// Returns all routes as address, services with their weights, and kind of
@@ -289,6 +324,9 @@
                 .map(|(name, weight)| (self.service(name), *weight))
                 .collect(),
             kind: route.kind,
+            aim: route.aim,
+            timeout: route.timeout,
+            priority: route.priority,
         }
     }
 
--- a/crates/cicadaweir-core/src/steer/flows.rs
+++ b/crates/cicadaweir-core/src/steer/flows.rs
@@ -48,6 +48,8 @@
     /// When the caller first sent the data that it now retransmits; none if the
     /// target has answered since.
     pub unanswered_since: Option<Instant>,
+    /// Whether neither an answer nor a copy has followed the opening in time.
+    pub is_lost: bool,
     /// The sequence number of the opening; none for an adopted flow.
     opening_sequence: Option<u32>,
     ack: u32,
@@ -96,6 +98,7 @@
             last_packet: now,
             request_since: Some(now),
             unanswered_since: None,
+            is_lost: false,
             opening_sequence: Some(segment.sequence),
             ack: 0,
             sequence: 0,
@@ -222,6 +225,14 @@
                 each(flow, Expired::Flow);
                 return false;
             }
+            let is_unanswered = flow.phase == FlowPhase::Opening
+                && !flow.is_lost
+                && idle_time > options.opening_answer_timeout;
+            if is_unanswered {
+                flow.is_lost = true;
+                flow.request_since = None;
+                each(flow, Expired::Opening);
+            }
             let timed_out = flow
                 .request_since
                 .is_some_and(|at| now.since(at) > options.request_ttl);
@@ -251,4 +262,7 @@
     Flow,
     /// Only the flow's request in flight.
     Request,
+    /// The request in flight of an opening that neither an answer nor a copy has
+    /// followed: its target has probably refused it.
+    Opening,
 }
--- a/crates/cicadaweir-core/src/steer/options.rs
+++ b/crates/cicadaweir-core/src/steer/options.rs
@@ -2,6 +2,8 @@
 
 use crate::time::Duration;
 
+use super::AdmissionOptions;
+
 /// How long flows are remembered, how targets are weighed, and when targets
 /// count as unresponsive.
 ///
@@ -61,8 +63,21 @@
     /// How long a packet may wait for the first read of the store: a little
     /// less than a caller's timeout for the answer to its opening.
     pub store_read_timeout: Duration,
-    /// How long an opening may wait for a target with capacity.
+    /// The longest wait of an opening for admission: less than a caller's first
+    /// retransmission interval of 200 ms, as an opening of which a copy may have
+    /// passed elsewhere can't be refused truthfully.
     pub capacity_timeout: Duration,
+    /// The time since its arrival within which an opening can be refused truthfully:
+    /// less than a caller's first retransmission interval of 200 ms.
+    pub refusal_window: Duration,
+    /// How long an opening without an answer, a copy or a closing packet counts as a
+    /// request in flight: its target has probably refused it, without this entry VM
+    /// seeing the answer. Longer than a caller's first retransmission interval.
+    pub opening_answer_timeout: Duration,
+    /// How long an opening waits for admission that can't be refused, because a copy
+    /// of it may have passed elsewhere: the time that callers wait for an answer to
+    /// their last copy.
+    pub copy_timeout: Duration,
     /// The number of requests in flight from this entry VM, per slot of a target,
     /// from which on the target is full: openings wait while all trusted targets
     /// are. Less than a target's slots and its queue together take.
@@ -96,6 +111,8 @@
     pub slowdown_range: f32,
     /// The factor on the load of a target that is warming up.
     pub warmup_factor: f32,
+    /// Parameters of admission.
+    pub admission: AdmissionOptions,
 }
 
 impl Default for Options {
@@ -120,6 +137,9 @@
             max_pending: 1_024,
             store_read_timeout: Duration::from_millis(1_200),
             capacity_timeout: Duration::from_millis(150),
+            refusal_window: Duration::from_millis(190),
+            opening_answer_timeout: Duration::from_millis(350),
+            copy_timeout: Duration::from_millis(800),
             full_per_slot: 3.0,
             busy_per_slot: 2.0,
             flow_weight: 0.15,
@@ -130,6 +150,7 @@
             slowdown_tolerance: 0.3,
             slowdown_range: 0.6,
             warmup_factor: 1.6,
+            admission: AdmissionOptions::default(),
         }
     }
 }
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -1,5 +1,6 @@
 //! Decisions on packets.
 
+mod admitting;
 mod placing;
 mod unresponsive;
 
@@ -14,9 +15,9 @@
 };
 
 use super::{
-    Applied, Change, Counters, Directory, DropReason, Expired, FlowPhase, FlowState, Flows,
-    Observation, Options, PendingPacket, PendingPackets, Progress, ResetReason, ResponseTimes,
-    Segment, Suspicion, TargetLoad, Trust, Verdict, WaitReason,
+    Applied, Change, ConcurrencyLimit, Counters, Directory, DropReason, Expired, Fate, FlowPhase,
+    FlowState, Flows, Observation, Options, PendingPacket, PendingPackets, Progress, ResetReason,
+    ResponseTimes, Segment, Suspicion, TargetLoad, Trust, Verdict, WaitReason,
 };
 
 /// The state of one entry VM whose packets name their target, and the decisions
@@ -39,6 +40,10 @@
     zone_probed_at: Vec<Option<Instant>>,
     /// By service and availability zone.
     response_times: HashMap<(ServiceKey, ZoneId), ResponseTimes>,
+    /// By service.
+    limits: Vec<ConcurrencyLimit>,
+    /// By service: whether it was refusing openings at the last tick.
+    refusing: Vec<bool>,
     store_read: bool,
     store_viewed_at: Option<Instant>,
     observations: Vec<Observation>,
@@ -63,6 +68,8 @@
             zone_last_answered_sent: Vec::new(),
             zone_probed_at: Vec::new(),
             response_times: HashMap::new(),
+            limits: Vec::new(),
+            refusing: Vec::new(),
             store_read: false,
             store_viewed_at: None,
             observations: Vec::new(),
@@ -156,6 +163,12 @@
         if let Applied::NewTarget(key) = applied {
             self.forget_target(key);
         }
+        if let Applied::NewTarget(key) | Applied::UpdatedTarget(key) | Applied::Departed(key) =
+            applied
+            && let Some(service) = self.directory.target(key).map(|entry| entry.service)
+        {
+            self.update_slots(service);
+        }
         applied
     }
 
@@ -177,7 +190,10 @@
 
     /// Decides on a packet that was pending.
     pub fn decide_pending(&mut self, now: Instant, pending: &PendingPacket) -> Verdict {
-        let verdict = self.decide(now, &pending.segment, false);
+        let verdict = match pending.fate {
+            Fate::Decide => self.decide(now, &pending.segment, false),
+            Fate::Refuse => self.refuse_pending(now, pending),
+        };
         self.counters.count(&verdict);
         verdict
     }
@@ -188,6 +204,8 @@
             packet,
             segment: *segment,
             since: now,
+            class: None,
+            fate: Fate::Decide,
         });
     }
 
@@ -203,15 +221,13 @@
             self.counters.count(&Verdict::Drop(DropReason::Waited));
             return Some(Err(expired));
         }
-        if let Some(pending) = self.pending.pop_expired(now, self.options.capacity_timeout) {
-            return Some(Ok(pending));
-        }
-        let is_decidable = self.pending.newest().is_some_and(|pending| {
-            let route = self.directory.route(&pending.segment.flow.address, 0);
-            pending.segment.kind != PacketKind::Opening
-                || route.is_none_or(|(service, _)| self.has_capacity(now, service))
-        });
-        is_decidable.then(|| self.pending.pop_newest().map(Ok))?
+        let mut pending = std::mem::take(&mut self.pending);
+        pending.classify(|packet| self.opening_class(now, packet));
+        let next = pending
+            .pop_decidable()
+            .or_else(|| pending.pop_next(|service| self.has_capacity(now, service)));
+        self.pending = pending;
+        next.map(Ok).or_else(|| self.next_overdue(now))
     }
 
     /// Returns whether packets are pending.
@@ -252,7 +268,7 @@
         self.flows.expire(now, idle_ttl, &options, |flow, expired| {
             let load = &mut loads[flow.target.0 as usize];
             match expired {
-                Expired::Request => load.request_ended(),
+                Expired::Request | Expired::Opening => load.request_ended(),
                 Expired::Flow => release_load(load, flow),
             }
         });
@@ -262,6 +278,7 @@
         for key in evicted {
             self.forget_target(key);
         }
+        self.observe_refusals(now);
     }
 
     /// Decides on a packet before the whole store has been read: it is sent if
@@ -273,8 +290,9 @@
         let known = match segment.kind {
             PacketKind::Opening => {
                 let route = self.directory.route(&segment.flow.address, 0);
-                route.is_some_and(|(service, _)| {
-                    self.directory.eligible_targets(service).next().is_some()
+                route.is_some_and(|route| {
+                    let mut eligible = self.directory.eligible_targets(route.service);
+                    eligible.next().is_some()
                 })
             }
             _ => self.directory.by_cookie(segment.cookie).is_some(),
@@ -296,14 +314,16 @@
                 adopted: false,
             };
         }
-        let Some((service, kind)) = self
-            .directory
-            .route(&segment.flow.address, self.rng.next_u64())
-        else {
+        let draw = self.rng.next_u64();
+        let Some(route) = self.directory.route(&segment.flow.address, draw) else {
             return self.missing_route_verdict(now);
         };
-        if may_wait && known.is_none() && !self.has_capacity(now, service) {
-            return Verdict::Wait(WaitReason::NoCapacity);
+        let service = route.service;
+        if known.is_none() && may_wait {
+            self.limit_mut(service).record_offer(now);
+            if self.pending.waiting(service) > 0 || !self.has_capacity(now, service) {
+                return self.wait_or_refuse(now, segment, &route);
+            }
         }
         let unanswered = known.filter(|flow| flow.phase == FlowPhase::Opening);
         if let Some(flow) = known {
@@ -317,7 +337,7 @@
         let Some((target, inputs)) = self.place(now, service, avoid) else {
             return Verdict::Reset(ResetReason::NoTarget);
         };
-        let mut state = FlowState::opening(target, kind, segment, now);
+        let mut state = FlowState::opening(target, route.kind, segment, now);
         state.first_opening = unanswered.map_or(now, |flow| flow.first_opening);
         if self
             .flows
@@ -326,6 +346,8 @@
             let load = &mut self.loads[target.0 as usize];
             load.flow_opened();
             load.request_started(now);
+            let in_flight = self.service_in_flight(service);
+            self.limit_mut(service).record_admitted(now, in_flight);
         }
         if segment.copy > 0 {
             self.counters.retransmitted_openings += 1;
@@ -363,7 +385,7 @@
         }
         let progress = flow.observe(segment, now);
         let flow = *flow;
-        self.apply_progress(now, &flow, progress);
+        self.apply_progress(now, segment, &flow, progress);
         match self.reset_reason(now, &flow, &progress) {
             Some(reason) => {
                 self.flows.remove(&segment.flow);
@@ -429,7 +451,7 @@
             .insert(segment.flow, flow, self.options.max_flows)
         {
             self.loads[target.0 as usize].flow_opened();
-            self.apply_progress(now, &flow, progress);
+            self.apply_progress(now, segment, &flow, progress);
         }
         Verdict::Forward {
             target,
@@ -437,7 +459,13 @@
         }
     }
 
-    fn apply_progress(&mut self, now: Instant, flow: &FlowState, progress: Progress) {
+    fn apply_progress(
+        &mut self,
+        now: Instant,
+        segment: &Segment,
+        flow: &FlowState,
+        progress: Progress,
+    ) {
         let at = flow.target.0 as usize;
         if let Some(sent) = progress.answered {
             self.record_answer(sent, flow.target);
@@ -454,6 +482,11 @@
                     .entry(key)
                     .or_default()
                     .record(now, took);
+                let service = entry.service;
+                let aim = self.directory.aim(&segment.flow.address);
+                let options = self.options.admission;
+                self.limit_mut(service)
+                    .record_response(&options, now, took, aim);
             }
             self.observations
                 .push(Observation::RequestAnswered { took });
--- /dev/null
+++ b/crates/cicadaweir-core/src/steer/steering/admitting.rs
@@ -0,0 +1,174 @@
+//! Admission of openings to a service.
+
+use crate::{
+    catalog::ServiceKey,
+    packet::PacketKind,
+    steer::{
+        ConcurrencyLimit, Fate, LimitPolicy, Observation, OpeningClass, PendingPacket, ResetReason,
+        RouteMatch, Segment, Verdict, WaitReason,
+    },
+    time::{Duration, Instant},
+};
+
+use super::Steering;
+
+/// How long after its last refusal a service counts as refusing.
+const REFUSING_TTL: Duration = Duration::from_secs(2);
+
+impl Steering {
+    /// Returns the limit of a service's requests in flight from this entry VM.
+    pub fn service_limit(&self, service: ServiceKey) -> f32 {
+        let limit = self.limits.get(service.0 as usize);
+        limit.map_or(f32::INFINITY, |limit| limit.limit(&self.options.admission))
+    }
+
+    /// Returns the requests of a service in flight from this entry VM.
+    pub fn service_in_flight(&self, service: ServiceKey) -> u32 {
+        let targets = self.directory.service_targets(service).iter();
+        targets.map(|&key| self.target_load(key).in_flight).sum()
+    }
+
+    pub(super) fn limit_mut(&mut self, service: ServiceKey) -> &mut ConcurrencyLimit {
+        let at = service.0 as usize;
+        if self.limits.len() <= at {
+            self.limits.resize(at + 1, ConcurrencyLimit::default());
+        }
+        &mut self.limits[at]
+    }
+
+    /// Sets the slots from which the limits of services start.
+    pub(super) fn update_slots(&mut self, service: ServiceKey) {
+        let eligible = self.directory.eligible_targets(service);
+        let slots = eligible.fold(0u32, |sum, (_, entry)| sum.saturating_add(entry.slots));
+        let options = self.options.admission;
+        self.limit_mut(service).set_slots(&options, slots);
+    }
+
+    /// Returns whether the limit of a service admits an opening now.
+    pub(super) fn is_within_limit(&self, now: Instant, service: ServiceKey) -> bool {
+        let in_flight = self.service_in_flight(service);
+        let limit = self.limits.get(service.0 as usize);
+        limit.is_none_or(|limit| limit.allows(&self.options.admission, now, in_flight))
+    }
+
+    /// Returns what an opening waits for. One that has not been refused while that was
+    /// possible waits like a copy.
+    pub(super) fn opening_class(
+        &self,
+        now: Instant,
+        pending: &PendingPacket,
+    ) -> Option<OpeningClass> {
+        let route = self
+            .directory
+            .route(&pending.segment.flow.address, u64::from(pending.packet.0))?;
+        let may_refuse = self.may_refuse(now, &pending.segment, pending.since);
+        let wait = if may_refuse {
+            self.max_wait(&route)
+        } else {
+            self.options.copy_timeout
+        };
+        Some(OpeningClass {
+            service: route.service,
+            priority: route.priority,
+            deadline: pending.since + wait,
+        })
+    }
+
+    /// Returns whether a refusal of an opening that arrived at `since` is true: no copy
+    /// of it can have been sent to a target, here or by another entry VM.
+    fn may_refuse(&self, now: Instant, segment: &Segment, since: Instant) -> bool {
+        segment.kind == PacketKind::Opening
+            && segment.copy == 0
+            && now.since(since) < self.options.refusal_window
+    }
+
+    /// Returns the longest wait of an opening for admission.
+    fn max_wait(&self, route: &RouteMatch) -> Duration {
+        let objective = route.aim.into_iter().chain(route.timeout).min();
+        let most = self.options.capacity_timeout;
+        ConcurrencyLimit::max_wait(&self.options.admission, objective, most)
+    }
+
+    /// Lets an opening wait that can't be placed now, or refuses it if it would wait
+    /// for too long. One of a higher priority takes the place of a lower one, but for a
+    /// quarter of the queue.
+    pub(super) fn wait_or_refuse(
+        &mut self,
+        now: Instant,
+        segment: &Segment,
+        route: &RouteMatch,
+    ) -> Verdict {
+        let options = self.options.admission;
+        let max_wait = self.max_wait(route);
+        let queued = self.pending.waiting(route.service);
+        let limit = self.limit_mut(route.service);
+        limit.record_limited();
+        let fits = queued == 0 || limit.expected_wait(&options, queued) <= max_wait;
+        if options.policy == LimitPolicy::Unlimited || segment.copy > 0 || fits {
+            return Verdict::Wait(WaitReason::NoCapacity);
+        }
+        let reserved = (queued / 4).max(1);
+        if self
+            .pending
+            .refuse_lower(route.service, route.priority, reserved)
+        {
+            return Verdict::Wait(WaitReason::NoCapacity);
+        }
+        self.refuse(now, route)
+    }
+
+    /// Refuses an opening of which no packet has been sent to a target.
+    fn refuse(&mut self, now: Instant, route: &RouteMatch) -> Verdict {
+        self.limit_mut(route.service).record_refused(now);
+        self.counters.record_refusal(route.priority);
+        Verdict::Reset(ResetReason::Overloaded)
+    }
+
+    /// Decides on an opening that leaves the queue to be refused.
+    pub(super) fn refuse_pending(&mut self, now: Instant, pending: &PendingPacket) -> Verdict {
+        let draw = u64::from(pending.packet.0);
+        match self.directory.route(&pending.segment.flow.address, draw) {
+            Some(route) => self.refuse(now, &route),
+            None => self.missing_route_verdict(now),
+        }
+    }
+
+    /// Removes a pending opening whose deadline has passed: `Ok` with
+    /// [`Fate::Refuse`] if it can be refused truthfully, `Err` otherwise.
+    pub(super) fn next_overdue(
+        &mut self,
+        now: Instant,
+    ) -> Option<Result<PendingPacket, PendingPacket>> {
+        let overdue = self.pending.pop_overdue(now)?;
+        if self.options.admission.policy == LimitPolicy::Unlimited {
+            return Some(Ok(overdue));
+        }
+        if self.may_refuse(now, &overdue.segment, overdue.since) {
+            return Some(Ok(PendingPacket {
+                fate: Fate::Refuse,
+                ..overdue
+            }));
+        }
+        Some(Err(overdue))
+    }
+
+    /// Reports services that started or stopped refusing.
+    pub(super) fn observe_refusals(&mut self, now: Instant) {
+        self.refusing.resize(self.limits.len(), false);
+        for at in 0..self.limits.len() {
+            let refused_at = self.limits[at].refused_at();
+            let refuses = refused_at.is_some_and(|refused| now.since(refused) < REFUSING_TTL);
+            if std::mem::replace(&mut self.refusing[at], refuses) == refuses {
+                continue;
+            }
+            let service = ServiceKey(at as u32);
+            self.observations.push(Observation::Refusing {
+                service,
+                refuses,
+                limit: self.service_limit(service),
+                in_flight: self.service_in_flight(service),
+                response_time: self.limits[at].response_time(),
+            });
+        }
+    }
+}
--- a/crates/cicadaweir-core/src/steer/steering/placing.rs
+++ b/crates/cicadaweir-core/src/steer/steering/placing.rs
@@ -14,10 +14,13 @@
 use super::Steering;
 
 impl Steering {
-    /// Returns whether an opening for a service can be placed without waiting: one
-    /// of the trusted targets isn't full, or no target is trusted, so that waiting
-    /// would not help.
+    /// Returns whether an opening for a service can be placed without waiting: the
+    /// service's limit admits it, and one of the trusted targets isn't full, or no
+    /// target is trusted, so that waiting would not help.
     pub(super) fn has_capacity(&self, now: Instant, service: ServiceKey) -> bool {
+        if !self.is_within_limit(now, service) {
+            return false;
+        }
         let eligible = self.directory.eligible_targets(service);
         let mut trusted = eligible
             .filter(|&(key, _)| self.trust(now, key) == Trust::Trusted)
--- a/crates/cicadaweir-core/src/steer/verdict.rs
+++ b/crates/cicadaweir-core/src/steer/verdict.rs
@@ -66,6 +66,9 @@
     TargetGone,
     /// The flow's target is unresponsive.
     TargetSilent,
+    /// The service gets more openings than its targets answer in time, and no packet
+    /// of this flow has been sent to a target.
+    Overloaded,
 }
 
 /// Why a packet is dropped.
@@ -88,11 +91,12 @@
 
 impl ResetReason {
     /// All reasons, in the order of their discriminants.
-    pub const ALL: [Self; 4] = [
+    pub const ALL: [Self; 5] = [
         Self::NoRoute,
         Self::NoTarget,
         Self::TargetGone,
         Self::TargetSilent,
+        Self::Overloaded,
     ];
 
     /// Returns the reason's name in logs and metrics.
@@ -102,6 +106,7 @@
             Self::NoTarget => "no_target",
             Self::TargetGone => "target_gone",
             Self::TargetSilent => "target_silent",
+            Self::Overloaded => "overloaded",
         }
     }
 }
--- a/crates/cicadaweir-core/tests/steer/directory.rs
+++ b/crates/cicadaweir-core/tests/steer/directory.rs
@@ -119,6 +119,6 @@
     *shared = vec![("old".into(), 9), ("new".into(), 1)];
     directory.apply(ms(0), Change::Routes(table));
     let drawn = (0..100).filter_map(|draw| directory.route(&address(IDEMPOTENT_PORT), draw));
-    let new = drawn.filter(|(service, _)| directory.service_name(*service) == "new");
+    let new = drawn.filter(|route| directory.service_name(route.service) == "new");
     assert_eq!(new.count(), 10);
 }
--- a/crates/cicadaweir-lab/src/lib.rs
+++ b/crates/cicadaweir-lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod decisions;
 pub mod fleet;
 pub mod measure;
+pub mod overload;
 pub mod pacing;
 pub mod report;
 pub mod scenario;
--- a/crates/cicadaweird/src/steered/engine.rs
+++ b/crates/cicadaweird/src/steered/engine.rs
@@ -364,6 +364,27 @@
                     target,
                     waited,
                 } => self.log_retransmitted(flow, target, waited),
+                Observation::Refusing {
+                    service,
+                    refuses,
+                    limit,
+                    in_flight,
+                    response_time,
+                } => {
+                    let directory = self.steering.directory();
+                    let message = if refuses {
+                        "service refuses openings"
+                    } else {
+                        "service no longer refuses openings"
+                    };
+                    info!(
+                        service = directory.service_name(service),
+                        limit,
+                        in_flight,
+                        response_ms = response_time.as_millis();
+                        "{message}"
+                    );
+                }
                 Observation::OpeningAnswered { .. } | Observation::RequestAnswered { .. } => {}
             }
         }
--- a/crates/cicadaweird/src/steered/follow.rs
+++ b/crates/cicadaweird/src/steered/follow.rs
@@ -40,6 +40,10 @@
 /// come in series and each watch costs a request, so the delay batches them.
 const STORE_WATCH_DELAY: Duration = Duration::from_millis(150);
 
+/// The same for an entry VM that isn't a seed. It watches the store itself only while
+/// no seed serves it, as do all others then, and each change would wake them all.
+const FOLLOWER_STORE_WATCH_DELAY: Duration = Duration::from_millis(500);
+
 /// The shortest time from a change to the next watch of another entry VM.
 const PEER_WATCH_DELAY: Duration = Duration::from_millis(50);
 
@@ -141,7 +145,8 @@
                 }
             };
             if let Some(at) = last_change_at {
-                thread::sleep(watch_delay(source).saturating_sub(at.elapsed()));
+                let delay = watch_delay(source, sources.role);
+                thread::sleep(delay.saturating_sub(at.elapsed()));
             }
             let requested_at = now();
             let result = self.query(source, &mut sources, &call);
@@ -331,10 +336,11 @@
 }
 
 /// Returns the shortest time from a change to the next watch of a source.
-const fn watch_delay(source: Source) -> Duration {
-    match source {
-        Source::Store => STORE_WATCH_DELAY,
-        Source::Peer(_) => PEER_WATCH_DELAY,
+const fn watch_delay(source: Source, role: Role) -> Duration {
+    match (source, role) {
+        (Source::Store, Role::Seed { .. }) => STORE_WATCH_DELAY,
+        (Source::Store, Role::Follower) => FOLLOWER_STORE_WATCH_DELAY,
+        (Source::Peer(_), _) => PEER_WATCH_DELAY,
     }
 }
 
--- a/crates/cicadaweird/src/steered/meters.rs
+++ b/crates/cicadaweird/src/steered/meters.rs
@@ -147,7 +147,8 @@
         match observation {
             Observation::OpeningAnswered { took } => self.opening_wait.observe(took.as_secs_f64()),
             Observation::RequestAnswered { took } => self.request_time.observe(took.as_secs_f64()),
-            Observation::Suspected { .. }
+            Observation::Refusing { .. }
+            | Observation::Suspected { .. }
             | Observation::Cleared { .. }
             | Observation::Retransmitted { .. } => {}
         }
