--- a/crates/cicadaweir-core/src/steer/admission.rs
+++ b/crates/cicadaweir-core/src/steer/admission.rs
@@ -67,15 +67,19 @@
     /// The first limit, as a fraction of the slots of all targets of the service.
     pub initial: f32,
     /// The longest wait of an opening for admission, as a fraction of the latency
-    /// objective.
+    /// objective, while the service is not known to be overloaded.
     pub max_wait: f32,
+    /// The same while it is: waiting would only make the answer later.
+    pub max_wait_overloaded: f32,
+    /// How long after the limit has fallen a service counts as overloaded.
+    pub overload_ttl: Duration,
 }
 
 impl Default for AdmissionOptions {
     fn default() -> Self {
         Self {
             policy: LimitPolicy::default(),
-            goal: 0.4,
+            goal: 0.45,
             min_responses: 8,
             max_decrease: 0.6,
             increase: 0.5,
@@ -83,6 +87,8 @@
             fast_below: 0.75,
             initial: 0.25,
             max_wait: 0.25,
+            max_wait_overloaded: 0.05,
+            overload_ttl: Duration::from_secs(2),
         }
     }
 }
@@ -116,7 +122,7 @@
     batch: Batch,
     /// When the limit last fell. Responses to earlier requests show the queues that
     /// it was meant to shorten.
-    decreased_at: Instant,
+    decreased_at: Option<Instant>,
     /// Openings of about the last [`OFFER_WINDOW`].
     offered: f32,
     offered_at: Instant,
@@ -133,7 +139,7 @@
             baseline: INITIAL_RESPONSE_TIME,
             responses: 0,
             batch: Batch::default(),
-            decreased_at: Instant::START,
+            decreased_at: None,
             offered: 0.0,
             offered_at: Instant::START,
             admitted_at: None,
@@ -170,6 +176,11 @@
         Duration::from_micros((self.mean * 1e6) as u64)
     }
 
+    /// Returns the response time without queues, in seconds.
+    pub const fn baseline(&self) -> f32 {
+        self.baseline
+    }
+
     /// Returns whether an opening may be placed while `in_flight` requests are in
     /// flight. A limit below one spaces openings out.
     pub fn allows(&self, options: &AdmissionOptions, now: Instant, in_flight: u32) -> bool {
@@ -187,10 +198,24 @@
         Duration::from_micros(((queued + 1) as f32 * self.mean / limit * 1e6) as u64)
     }
 
-    /// Returns the longest wait of an opening with a latency objective.
-    pub fn max_wait(options: &AdmissionOptions, aim: Option<Duration>, most: Duration) -> Duration {
+    /// Returns the longest wait of an opening with a latency objective, `most` at most.
+    pub fn max_wait(
+        &self,
+        options: &AdmissionOptions,
+        now: Instant,
+        aim: Option<Duration>,
+        most: Duration,
+    ) -> Duration {
+        let is_overloaded = self
+            .decreased_at
+            .is_some_and(|at| now.since(at) < options.overload_ttl);
+        let fraction = if is_overloaded {
+            options.max_wait_overloaded
+        } else {
+            options.max_wait
+        };
         aim.map_or(most, |aim| {
-            Duration::from_micros((aim.as_micros() as f32 * options.max_wait) as u64).min(most)
+            Duration::from_micros((aim.as_micros() as f32 * fraction) as u64).min(most)
         })
     }
 
@@ -247,7 +272,7 @@
             _ => self.baseline * 2.0,
         };
         let placed_at = now - Duration::from_micros((took * 1e6) as u64);
-        if placed_at < self.decreased_at {
+        if self.decreased_at.is_some_and(|at| placed_at < at) {
             return;
         }
         self.batch.responses += 1;
@@ -271,7 +296,7 @@
         if ratio > 1.0 {
             let used = self.limit.min(batch.peak.max(1) as f32);
             self.limit = used * (1.0 / ratio).max(options.max_decrease);
-            self.decreased_at = now;
+            self.decreased_at = Some(now);
         } else if batch.was_limited {
             let needed =
                 self.offered_in_window(now) / OFFER_WINDOW.as_secs_f64() as f32 * self.baseline;
--- a/crates/cicadaweir-core/src/steer/load.rs
+++ b/crates/cicadaweir-core/src/steer/load.rs
@@ -5,6 +5,9 @@
 /// The time constant of the request rate's exponential decay.
 const RATE_WINDOW: Duration = Duration::from_millis(1_000);
 
+/// The time constant of the decay of a target's delay.
+const DELAY_WINDOW: Duration = Duration::from_millis(300);
+
 /// The load of one target that comes through this entry VM.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct TargetLoad {
@@ -15,6 +18,9 @@
     pub in_flight: u32,
     recent_requests: f32,
     decayed_at: Instant,
+    /// The mean of the latest response times in seconds.
+    response_time: f32,
+    responded_at: Instant,
 }
 
 impl TargetLoad {
@@ -40,6 +46,27 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
+    /// Records a response.
+    pub fn record_response(&mut self, now: Instant, took: Duration) {
+        let took = took.as_secs_f64() as f32;
+        let weight = 0.4;
+        let age = now.since(self.responded_at).as_secs_f64() / DELAY_WINDOW.as_secs_f64();
+        let known = self.response_time * (-age).exp() as f32;
+        self.response_time = if self.response_time == 0.0 {
+            took
+        } else {
+            known + (took - known) * weight
+        };
+        self.responded_at = now;
+    }
+
+    /// Returns how many times longer than `usual` seconds its latest responses took,
+    /// beyond once; it decays within [`DELAY_WINDOW`].
+    pub fn delay(&self, now: Instant, usual: f32) -> f32 {
+        let age = now.since(self.responded_at).as_secs_f64() / DELAY_WINDOW.as_secs_f64();
+        (self.response_time / usual - 1.0).max(0.0) * (-age).exp() as f32
+    }
+
     /// Returns the exponentially decayed number of requests of about the last
     /// second.
     pub fn recent_requests(&self, now: Instant) -> f32 {
--- a/crates/cicadaweir-core/src/steer/options.rs
+++ b/crates/cicadaweir-core/src/steer/options.rs
@@ -90,6 +90,10 @@
     pub flow_weight: f32,
     /// The weight of a request of the last second, in requests in flight.
     pub rate_weight: f32,
+    /// The weight of a target's delay, the excess of its latest response times over the
+    /// service's usual one as a multiple of the latter, in requests in flight for each
+    /// slot.
+    pub delay_weight: f32,
     /// The minimum penalty of targets in other availability zones, in requests
     /// in flight.
     pub zone_penalty: f32,
@@ -144,6 +148,7 @@
             busy_per_slot: 2.0,
             flow_weight: 0.15,
             rate_weight: 0.3,
+            delay_weight: 0.5,
             zone_penalty: 0.3,
             zone_preference: 2.0,
             local_share: 0.85,
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -492,6 +492,9 @@
                 .push(Observation::RequestAnswered { took });
         }
         let load = &mut self.loads[at];
+        if let Some(took) = progress.request_took {
+            load.record_response(now, took);
+        }
         if progress.request_ended {
             load.request_ended();
         }
--- a/crates/cicadaweir-core/src/steer/steering/admitting.rs
+++ b/crates/cicadaweir-core/src/steer/steering/admitting.rs
@@ -28,6 +28,12 @@
         targets.map(|&key| self.target_load(key).in_flight).sum()
     }
 
+    /// Returns the response time of a service without queues, in seconds.
+    pub(super) fn usual_response_time(&self, service: ServiceKey) -> f32 {
+        let limit = self.limits.get(service.0 as usize);
+        limit.map_or(f32::INFINITY, ConcurrencyLimit::baseline)
+    }
+
     pub(super) fn limit_mut(&mut self, service: ServiceKey) -> &mut ConcurrencyLimit {
         let at = service.0 as usize;
         if self.limits.len() <= at {
@@ -63,7 +69,7 @@
             .route(&pending.segment.flow.address, u64::from(pending.packet.0))?;
         let may_refuse = self.may_refuse(now, &pending.segment, pending.since);
         let wait = if may_refuse {
-            self.max_wait(&route)
+            self.max_wait(now, &route)
         } else {
             self.options.copy_timeout
         };
@@ -83,10 +89,13 @@
     }
 
     /// Returns the longest wait of an opening for admission.
-    fn max_wait(&self, route: &RouteMatch) -> Duration {
+    fn max_wait(&self, now: Instant, route: &RouteMatch) -> Duration {
         let objective = route.aim.into_iter().chain(route.timeout).min();
         let most = self.options.capacity_timeout;
-        ConcurrencyLimit::max_wait(&self.options.admission, objective, most)
+        let limit = self.limits.get(route.service.0 as usize);
+        limit.map_or(most, |limit| {
+            limit.max_wait(&self.options.admission, now, objective, most)
+        })
     }
 
     /// Lets an opening wait that can't be placed now, or refuses it if it would wait
@@ -99,7 +108,7 @@
         route: &RouteMatch,
     ) -> Verdict {
         let options = self.options.admission;
-        let max_wait = self.max_wait(route);
+        let max_wait = self.max_wait(now, route);
         let queued = self.pending.waiting(route.service);
         let limit = self.limit_mut(route.service);
         limit.record_limited();
--- a/crates/cicadaweir-core/src/steer/steering/placing.rs
+++ b/crates/cicadaweir-core/src/steer/steering/placing.rs
@@ -161,7 +161,10 @@
         let load = self.target_load(key);
         let requests = load.in_flight as f32
             + o.flow_weight * load.open as f32
-            + o.rate_weight * load.recent_requests(now);
+            + o.rate_weight * load.recent_requests(now)
+            + o.delay_weight
+                * entry.slots as f32
+                * load.delay(now, self.usual_response_time(entry.service));
         let factor = if now < entry.warm_at {
             o.warmup_factor
         } else {
