--- a/crates/cicadaweir-core/src/steer/admission.rs
+++ b/crates/cicadaweir-core/src/steer/admission.rs
@@ -66,29 +66,37 @@
     pub fast_below: f32,
     /// The first limit, as a fraction of the slots of all targets of the service.
     pub initial: f32,
-    /// The longest wait of an opening for admission, as a fraction of the latency
-    /// objective, while the service is not known to be overloaded.
+    /// The longest wait of an opening for admission while a service stays overloaded, as
+    /// a fraction of the latency objective: waiting would only make the answer later.
     pub max_wait: f32,
-    /// The same while it is: waiting would only make the answer later.
-    pub max_wait_overloaded: f32,
     /// How long after the limit has fallen a service counts as overloaded.
     pub overload_ttl: Duration,
+    /// How long a service may be overloaded before openings wait for `max_wait` at most:
+    /// after an outage the crowd of those that waited is served within this time.
+    pub crowd_time: Duration,
+    /// The shortest time between two increases of the limit if fewer than
+    /// `min_responses` have arrived.
+    pub increase_interval: Duration,
+    /// The smallest number of responses on which the limit is increased.
+    pub min_increase_responses: u32,
 }
 
 impl Default for AdmissionOptions {
     fn default() -> Self {
         Self {
             policy: LimitPolicy::default(),
-            goal: 0.45,
+            goal: 0.4,
             min_responses: 8,
             max_decrease: 0.6,
             increase: 0.5,
             fast_increase: 1.5,
             fast_below: 0.75,
             initial: 0.25,
-            max_wait: 0.25,
-            max_wait_overloaded: 0.05,
+            max_wait: 0.05,
             overload_ttl: Duration::from_secs(2),
+            crowd_time: Duration::from_secs(1),
+            increase_interval: Duration::from_millis(150),
+            min_increase_responses: 3,
         }
     }
 }
@@ -109,6 +117,14 @@
     was_limited: bool,
 }
 
+impl Batch {
+    /// Returns the mean of the response times but the largest, as a multiple of the
+    /// goal.
+    fn mean_ratio(&self) -> f32 {
+        (self.ratios - self.largest) / self.responses.saturating_sub(1).max(1) as f32
+    }
+}
+
 /// How many requests of one service may be in flight from this entry VM.
 #[derive(Debug, Clone, Copy)]
 pub struct ConcurrencyLimit {
@@ -123,6 +139,9 @@
     /// When the limit last fell. Responses to earlier requests show the queues that
     /// it was meant to shorten.
     decreased_at: Option<Instant>,
+    /// When the service became overloaded, if the limit has fallen since at least once
+    /// in [`AdmissionOptions::overload_ttl`].
+    overloaded_since: Option<Instant>,
     /// Openings of about the last [`OFFER_WINDOW`].
     offered: f32,
     offered_at: Instant,
@@ -140,6 +159,7 @@
             responses: 0,
             batch: Batch::default(),
             decreased_at: None,
+            overloaded_since: None,
             offered: 0.0,
             offered_at: Instant::START,
             admitted_at: None,
@@ -192,13 +212,15 @@
         in_flight == 0 && self.admitted_at.is_none_or(|at| now.since(at) >= gap)
     }
 
-    /// Returns how long an opening is expected to wait behind `queued` others.
-    pub fn expected_wait(&self, options: &AdmissionOptions, queued: usize) -> Duration {
-        let limit = self.limit(options);
-        Duration::from_micros(((queued + 1) as f32 * self.mean / limit * 1e6) as u64)
+    /// Returns whether the limit has fallen of late, so that openings beyond it are
+    /// refused.
+    pub fn is_overloaded(&self, options: &AdmissionOptions, now: Instant) -> bool {
+        self.decreased_at
+            .is_some_and(|at| now.since(at) < options.overload_ttl)
     }
 
-    /// Returns the longest wait of an opening with a latency objective, `most` at most.
+    /// Returns the longest wait for admission of an opening with a latency objective;
+    /// `most` while the service is not overloaded, or has only just become it.
     pub fn max_wait(
         &self,
         options: &AdmissionOptions,
@@ -206,17 +228,21 @@
         aim: Option<Duration>,
         most: Duration,
     ) -> Duration {
-        let is_overloaded = self
-            .decreased_at
-            .is_some_and(|at| now.since(at) < options.overload_ttl);
-        let fraction = if is_overloaded {
-            options.max_wait_overloaded
-        } else {
-            options.max_wait
-        };
-        aim.map_or(most, |aim| {
-            Duration::from_micros((aim.as_micros() as f32 * fraction) as u64).min(most)
-        })
+        let is_crowd = self
+            .overloaded_since
+            .is_none_or(|since| now.since(since) < options.crowd_time);
+        match aim {
+            Some(aim) if !is_crowd && self.is_overloaded(options, now) => {
+                Duration::from_micros((aim.as_micros() as f32 * options.max_wait) as u64).min(most)
+            }
+            _ => most,
+        }
+    }
+
+    /// Returns how many openings may wait if none is to wait for longer than `max_wait`.
+    pub fn queue_length(&self, options: &AdmissionOptions, max_wait: Duration) -> usize {
+        let per_second = self.limit(options) / self.mean;
+        (per_second * max_wait.as_secs_f64() as f32).max(1.0) as usize
     }
 
     /// Counts an opening that was offered.
@@ -279,7 +305,12 @@
         let ratio = (took / goal.max(f32::MIN_POSITIVE)).min(MAX_RATIO);
         self.batch.ratios += ratio;
         self.batch.largest = self.batch.largest.max(ratio);
-        if self.batch.responses >= options.min_responses.max(self.batch.peak) {
+        let is_full = self.batch.responses >= options.min_responses.max(self.batch.peak);
+        let is_due = self.batch.was_limited
+            && self.batch.responses >= options.min_increase_responses
+            && now.since(self.batch.since) >= options.increase_interval
+            && self.batch.mean_ratio() < options.fast_below;
+        if is_full || is_due {
             self.adjust(options, now);
         }
     }
@@ -292,10 +323,13 @@
                 ..Batch::default()
             },
         );
-        let ratio = (batch.ratios - batch.largest) / (batch.responses - 1).max(1) as f32;
+        let ratio = batch.mean_ratio();
         if ratio > 1.0 {
             let used = self.limit.min(batch.peak.max(1) as f32);
             self.limit = used * (1.0 / ratio).max(options.max_decrease);
+            if !self.is_overloaded(options, now) {
+                self.overloaded_since = Some(now);
+            }
             self.decreased_at = Some(now);
         } else if batch.was_limited {
             let needed =
--- a/crates/cicadaweir-core/src/steer/pending.rs
+++ b/crates/cicadaweir-core/src/steer/pending.rs
@@ -15,9 +15,9 @@
 
 use super::Segment;
 
-/// Of this many openings that leave the queue, one is the oldest whatever its
+/// Of this many openings that leave the queue, one is the latest whatever its
 /// priority, so that no priority starves.
-const OLDEST_EVERY: u32 = 4;
+const ANY_PRIORITY_EVERY: u32 = 4;
 
 /// What an opening waits for, once its route is known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,19 +56,14 @@
     pub fate: Fate,
 }
 
-impl PendingPacket {
-    /// Returns whether no copy of this opening can have passed another entry VM.
-    fn is_first_copy(&self) -> bool {
-        self.segment.copy == 0
-    }
-}
-
 /// Packets without a decision, in order of arrival.
 #[derive(Debug, Default)]
 pub struct PendingPackets {
     packets: Vec<PendingPacket>,
     /// Counts the openings that left the queue by their priority.
     taken: u32,
+    /// Counts the openings that [`PendingPackets::trim`] refused.
+    trimmed: u32,
 }
 
 impl PendingPackets {
@@ -97,48 +92,38 @@
         }
     }
 
-    /// Returns the number of openings of a service that wait for the first time.
-    pub fn waiting(&self, service: ServiceKey) -> usize {
-        let of_service = self.openings(service);
-        of_service.filter(|pending| pending.is_first_copy()).count()
+    /// Returns whether openings of a service wait.
+    pub fn has_openings(&self, service: ServiceKey) -> bool {
+        let mut classes = self.packets.iter().filter_map(|pending| pending.class);
+        classes.any(|class| class.service == service)
     }
 
-    /// Refuses the latest opening of the lowest priority below `priority` that wait
-    /// for a service, if more than `reserved` of that priority wait. Returns whether
-    /// there is one.
-    pub fn refuse_lower(&mut self, service: ServiceKey, priority: u8, reserved: usize) -> bool {
-        let candidates = self.packets.iter().enumerate().filter(|(_, pending)| {
-            pending.is_first_copy()
+    /// Refuses the oldest opening of the lowest priority that waits for a service for
+    /// the first time, now and then of any priority, if more than `max` wait.
+    pub fn trim(&mut self, service: ServiceKey, max: usize) {
+        let waits = |pending: &PendingPacket| {
+            pending.segment.copy == 0
                 && pending.fate == Fate::Decide
-                && pending
-                    .class
-                    .is_some_and(|class| class.service == service && class.priority > priority)
-        });
-        let lowest =
-            candidates.max_by_key(|(at, pending)| (pending.class.map(|c| c.priority), *at));
-        let Some((at, lowest)) = lowest.map(|(at, pending)| (at, pending.class)) else {
-            return false;
-        };
-        let of_priority = |pending: &&PendingPacket| {
-            pending.class.map(|c| c.priority) == lowest.map(|c| c.priority)
+                && pending.class.is_some_and(|class| class.service == service)
         };
-        let waiting = self.openings(service).filter(of_priority).count();
-        if waiting <= reserved {
-            return false;
+        if self.packets.iter().filter(|pending| waits(pending)).count() <= max {
+            return;
+        }
+        let is_any = self.trimmed % ANY_PRIORITY_EVERY == ANY_PRIORITY_EVERY - 1;
+        self.trimmed = self.trimmed.wrapping_add(1);
+        let waiting = self.packets.iter_mut().enumerate();
+        let waiting = waiting.filter(|(_, pending)| waits(pending));
+        let victim = waiting.max_by_key(|(at, pending)| {
+            let priority = pending.class.map_or(0, |class| class.priority);
+            (if is_any { 0 } else { priority }, Reverse(*at))
+        });
+        if let Some((_, pending)) = victim {
+            pending.fate = Fate::Refuse;
         }
-        self.packets[at].fate = Fate::Refuse;
-        true
-    }
-
-    fn openings(&self, service: ServiceKey) -> impl Iterator<Item = &PendingPacket> {
-        self.packets.iter().filter(move |pending| {
-            pending.fate == Fate::Decide
-                && pending.class.is_some_and(|class| class.service == service)
-        })
     }
 
-    /// Removes the oldest packet that needn't wait: one that is refused, one that
-    /// isn't an opening, or an opening without a route.
+    /// Removes the oldest packet that needn't wait: one that isn't an opening, or an
+    /// opening that is refused or without a route.
     pub fn pop_decidable(&mut self) -> Option<PendingPacket> {
         let mut packets = self.packets.iter();
         let at =
@@ -148,8 +133,8 @@
 
     /// Removes the opening that goes next among those of services for which
     /// `has_capacity` holds: those that wait for the first time before copies, the
-    /// highest priority first, but now and then the oldest; of copies the latest
-    /// first, as its caller is the least likely to have timed out.
+    /// highest priority first, but now and then of any; the latest first, as its caller
+    /// is the least likely to have timed out.
     pub fn pop_next(
         &mut self,
         mut has_capacity: impl FnMut(ServiceKey) -> bool,
@@ -163,22 +148,13 @@
                 open
             }
         };
-        let takes_oldest = self.taken % OLDEST_EVERY == OLDEST_EVERY - 1;
-        let rank = |(at, pending): &(usize, &PendingPacket)| {
-            let class = pending.class.map_or(u8::MAX, |class| class.priority);
-            if pending.is_first_copy() {
-                let priority = if takes_oldest { 0 } else { class };
-                (false, priority, *at, Reverse(0))
-            } else {
-                (true, 0, 0, Reverse(*at))
-            }
-        };
-        let open = self
-            .packets
-            .iter()
-            .enumerate()
-            .filter(|(_, pending)| pending.class.is_some_and(|class| is_open(class.service)));
-        let (at, _) = open.min_by_key(rank)?;
+        let is_any = self.taken % ANY_PRIORITY_EVERY == ANY_PRIORITY_EVERY - 1;
+        let open = self.packets.iter().enumerate().filter_map(|(at, pending)| {
+            let class = pending.class.filter(|class| is_open(class.service))?;
+            let priority = if is_any { 0 } else { class.priority };
+            Some((pending.segment.copy > 0, priority, Reverse(at)))
+        });
+        let (.., Reverse(at)) = open.min()?;
         self.taken = self.taken.wrapping_add(1);
         Some(self.packets.remove(at))
     }
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -207,6 +207,16 @@
             class: None,
             fate: Fate::Decide,
         });
+        if self.store_read {
+            self.classify_pending(now);
+            self.trim_pending(now, segment);
+        }
+    }
+
+    fn classify_pending(&mut self, now: Instant) {
+        let mut pending = std::mem::take(&mut self.pending);
+        pending.classify(|packet| self.opening_class(now, packet));
+        self.pending = pending;
     }
 
     /// Removes a pending packet that can be decided now, if there is one.
@@ -221,8 +231,8 @@
             self.counters.count(&Verdict::Drop(DropReason::Waited));
             return Some(Err(expired));
         }
+        self.classify_pending(now);
         let mut pending = std::mem::take(&mut self.pending);
-        pending.classify(|packet| self.opening_class(now, packet));
         let next = pending
             .pop_decidable()
             .or_else(|| pending.pop_next(|service| self.has_capacity(now, service)));
@@ -321,8 +331,8 @@
         let service = route.service;
         if known.is_none() && may_wait {
             self.limit_mut(service).record_offer(now);
-            if self.pending.waiting(service) > 0 || !self.has_capacity(now, service) {
-                return self.wait_or_refuse(now, segment, &route);
+            if self.pending.has_openings(service) || !self.has_capacity(now, service) {
+                return self.wait_for_capacity(service);
             }
         }
         let unanswered = known.filter(|flow| flow.phase == FlowPhase::Opening);
--- a/crates/cicadaweir-core/src/steer/steering/admitting.rs
+++ b/crates/cicadaweir-core/src/steer/steering/admitting.rs
@@ -98,32 +98,10 @@
         })
     }
 
-    /// Lets an opening wait that can't be placed now, or refuses it if it would wait
-    /// for too long. One of a higher priority takes the place of a lower one, but for a
-    /// quarter of the queue.
-    pub(super) fn wait_or_refuse(
-        &mut self,
-        now: Instant,
-        segment: &Segment,
-        route: &RouteMatch,
-    ) -> Verdict {
-        let options = self.options.admission;
-        let max_wait = self.max_wait(now, route);
-        let queued = self.pending.waiting(route.service);
-        let limit = self.limit_mut(route.service);
-        limit.record_limited();
-        let fits = queued == 0 || limit.expected_wait(&options, queued) <= max_wait;
-        if options.policy == LimitPolicy::Unlimited || segment.copy > 0 || fits {
-            return Verdict::Wait(WaitReason::NoCapacity);
-        }
-        let reserved = (queued / 4).max(1);
-        if self
-            .pending
-            .refuse_lower(route.service, route.priority, reserved)
-        {
-            return Verdict::Wait(WaitReason::NoCapacity);
-        }
-        self.refuse(now, route)
+    /// Lets an opening wait that can't be placed now.
+    pub(super) fn wait_for_capacity(&mut self, service: ServiceKey) -> Verdict {
+        self.limit_mut(service).record_limited();
+        Verdict::Wait(WaitReason::NoCapacity)
     }
 
     /// Refuses an opening of which no packet has been sent to a target.
@@ -142,14 +120,37 @@
         }
     }
 
-    /// Removes a pending opening whose deadline has passed: `Ok` with
-    /// [`Fate::Refuse`] if it can be refused truthfully, `Err` otherwise.
+    /// Refuses openings that would wait for too long, while a service stays overloaded.
+    pub(super) fn trim_pending(&mut self, now: Instant, segment: &Segment) {
+        let Some(route) = self.directory.route(&segment.flow.address, 0) else {
+            return;
+        };
+        let options = self.options.admission;
+        let max_wait = self.max_wait(now, &route);
+        if options.policy == LimitPolicy::Unlimited || max_wait >= self.options.capacity_timeout {
+            return;
+        }
+        let max = self
+            .limit_mut(route.service)
+            .queue_length(&options, max_wait);
+        self.pending.trim(route.service, max);
+    }
+
+    /// Removes a pending opening whose deadline has passed. It is refused if its service
+    /// is overloaded and the refusal is true, and placed if there is no sign of
+    /// overload. `Err` is to be dropped: its caller sends another copy.
     pub(super) fn next_overdue(
         &mut self,
         now: Instant,
     ) -> Option<Result<PendingPacket, PendingPacket>> {
         let overdue = self.pending.pop_overdue(now)?;
-        if self.options.admission.policy == LimitPolicy::Unlimited {
+        let options = self.options.admission;
+        let limit = overdue
+            .class
+            .and_then(|class| self.limits.get(class.service.0 as usize));
+        let is_overloaded = options.policy != LimitPolicy::Unlimited
+            && limit.is_some_and(|limit| limit.is_overloaded(&options, now));
+        if !is_overloaded {
             return Some(Ok(overdue));
         }
         if self.may_refuse(now, &overdue.segment, overdue.since) {
--- a/crates/cicadaweir-lab/src/overload/load.rs
+++ b/crates/cicadaweir-lab/src/overload/load.rs
@@ -35,8 +35,10 @@
     },
     /// All entry VMs start again and know nothing of the load.
     RestartEntryVms {
-        /// When, in seconds.
-        at: f64,
+        /// When they end, in seconds.
+        from: f64,
+        /// When they are back, in seconds.
+        until: f64,
     },
     /// All callers of one zone send several times as much as those of the others.
     ZoneBurst {
--- a/crates/cicadaweir-lab/src/overload/world.rs
+++ b/crates/cicadaweir-lab/src/overload/world.rs
@@ -147,8 +147,8 @@
         world.schedule(vm as f64 * 3.1, Event::Tick(vm));
     }
     for (at, trouble) in load.troubles.iter().enumerate() {
-        if let Trouble::RestartEntryVms { at: seconds } = trouble {
-            world.schedule(seconds * 1e3, Event::Trouble(at));
+        if let Trouble::RestartEntryVms { until, .. } = trouble {
+            world.schedule(until * 1e3, Event::Trouble(at));
         }
     }
     while let Some(Reverse((at, _, event))) = world.events.pop() {
@@ -379,6 +379,9 @@
     }
 
     fn at_entry_vm(&mut self, attempt: usize, packet: Packet) {
+        if self.are_entry_vms_down() {
+            return;
+        }
         let vm = self.attempts[attempt].entry_vm;
         let segment = self.segment(attempt, packet);
         let now = self.instant();
@@ -447,6 +450,14 @@
         self.schedule(delay, Event::AtCaller(attempt, answer));
     }
 
+    fn are_entry_vms_down(&self) -> bool {
+        let at = self.seconds();
+        self.load.troubles.iter().any(|trouble| match *trouble {
+            Trouble::RestartEntryVms { from, until } => (from..until).contains(&at),
+            _ => false,
+        })
+    }
+
     fn is_down(&self, target: usize) -> bool {
         let at = self.seconds();
         self.load.troubles.iter().any(|trouble| match *trouble {
--- a/crates/cicadaweir-lab/tests/overload.rs
+++ b/crates/cicadaweir-lab/tests/overload.rs
@@ -10,29 +10,33 @@
             ..Site::default()
         };
         let handles: Vec<_> = [
-            (0.45, 0.05, 0.5),
-            (0.4, 0.05, 0.5),
-            (0.5, 0.05, 0.5),
-            (0.45, 0.05, 0.0),
+            (LimitPolicy::Objective, 0.45, 0.05, 1u64),
+            (LimitPolicy::Objective, 0.45, 0.1, 1),
+            (LimitPolicy::Objective, 0.45, 0.025, 1),
+            (LimitPolicy::Objective, 0.5, 0.05, 1),
+            (LimitPolicy::Objective, 0.45, 0.05, 0),
+            (LimitPolicy::Objective, 0.4, 0.05, 1),
         ]
         .iter()
-        .map(|&(goal, max_wait, dw)| {
+        .map(|&(policy, goal, wait, crowd)| {
             std::thread::spawn(move || {
-                let options = Options {
-                    delay_weight: dw,
+                let mut options = Options {
                     admission: AdmissionOptions {
                         policy: LimitPolicy::Objective,
-                        goal,
-                        max_wait_overloaded: max_wait,
                         ..AdmissionOptions::default()
                     },
                     ..Options::default()
                 };
-                let mut line = format!("{vms} goal {goal} wait {max_wait} dw {dw}:");
-                for x in [0.33, 0.66, 1.0, 1.5, 2.0, 3.0, 9.0] {
-                    if vms > 9 && (x == 0.33 || x == 3.0 || x == 1.0) {
+                options.admission.policy = policy;
+                options.admission.goal = goal;
+                options.admission.max_wait = wait;
+                options.admission.crowd_time = cicadaweir_core::time::Duration::from_secs(crowd);
+                let mut line = format!("{vms} {:?}:", (policy, goal, wait, crowd));
+                for x in [0.33, 0.66, 0.85, 1.0, 1.5, 2.0, 3.0, 8.4, 8.6, 8.9, 9.0] {
+                    if vms > 9 && ![0.66, 1.5, 8.6, 9.0].contains(&x) {
                         continue;
                     }
+                    let down = x > 8.0 && x < 9.0;
                     let load = if x == 9.0 {
                         Load {
                             troubles: vec![Trouble::SlowTargets {
@@ -43,25 +47,37 @@
                             }],
                             ..Load::burst(&site, 0.66)
                         }
+                    } else if down {
+                        Load {
+                            troubles: vec![Trouble::RestartEntryVms {
+                                from: 6.0,
+                                until: 7.3,
+                            }],
+                            ..Load::burst(&site, x - 8.0)
+                        }
                     } else {
                         Load::burst(&site, x)
                     };
                     let cap = site.capacity(load.mean_work_ms());
-                    let mut t = (0.0, 0.0, 0, 0.0, 0.0);
+                    let mut t = (0.0, 0.0, 0, 0.0, 0.0, 0.0);
                     let n = if vms > 9 { 1 } else { 4 };
                     for seed in 1..=n {
                         let o = run(&site, &load, options, seed);
-                        let b = o.between(6, 10, None);
+                        let (f, u) = if down { (5, 9) } else { (6, 10) };
+                        let b = o.between(f, u, None);
                         let a = o.between(10, 12, None);
-                        t.0 += b.in_aim as f64 / 4.0 / cap / n as f64;
-                        t.1 += b.late as f64 / 4.0 / cap / n as f64;
+                        let k = n as f64;
+                        t.0 += b.in_aim as f64 / 4.0 / cap / k;
+                        t.1 += b.late as f64 / 4.0 / cap / k;
                         t.2 += o.entry_refusals / n;
-                        t.3 += a.in_aim as f64 / a.asked as f64 / n as f64;
-                        t.4 += b.asked as f64 / 4.0 / cap / n as f64;
+                        t.3 += a.in_aim as f64 / a.asked as f64 / k;
+                        t.4 += b.asked as f64 / 4.0 / cap / k;
+                        t.5 += (b.in_aim as f64 + 0.3 * b.late as f64) / b.asked as f64 / k;
+                        assert_eq!(o.false_refusals, 0);
                     }
                     line += &format!(
-                        " | {x}: {:.3}+{:.3}/{:.2} ref {} after {:.2}",
-                        t.0, t.1, t.4, t.2, t.3
+                        " | {x}: {:.3}+{:.3}/{:.2} w{:.3} r{} a{:.2}",
+                        t.0, t.1, t.4, t.5, t.2, t.3
                     );
                 }
                 line
