--- a/crates/cicadaweir-core/src/steer/admission.rs
+++ b/crates/cicadaweir-core/src/steer/admission.rs
@@ -69,7 +69,7 @@
     /// The longest wait of an opening for admission while a service stays overloaded, as
     /// a fraction of the latency objective: waiting would only make the answer later.
     pub max_wait: f32,
-    /// How long after the limit has fallen a service counts as overloaded.
+    /// How long after it was last seen to be a service counts as overloaded.
     pub overload_ttl: Duration,
     /// How long a service may be overloaded before openings wait for `max_wait` at most:
     /// after an outage the crowd of those that waited is served within this time.
@@ -85,7 +85,7 @@
     fn default() -> Self {
         Self {
             policy: LimitPolicy::default(),
-            goal: 0.4,
+            goal: 0.45,
             min_responses: 8,
             max_decrease: 0.6,
             increase: 0.5,
@@ -105,11 +105,10 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Batch {
     responses: u32,
+    /// Those that took longer than the goal.
+    slow: u32,
     /// The sum of the response times, as multiples of the goal.
     ratios: f32,
-    /// The largest of them, which is left out: a few requests take many times as
-    /// long as the others at any load.
-    largest: f32,
     since: Instant,
     /// The most requests in flight.
     peak: u32,
@@ -118,10 +117,15 @@
 }
 
 impl Batch {
-    /// Returns the mean of the response times but the largest, as a multiple of the
-    /// goal.
+    /// Returns whether most responses took longer than the goal. A few slow requests, or
+    /// a few slow targets, say nothing about the others.
+    fn is_slow(&self) -> bool {
+        self.slow * 2 > self.responses
+    }
+
+    /// Returns the mean of the response times as a multiple of the goal.
     fn mean_ratio(&self) -> f32 {
-        (self.ratios - self.largest) / self.responses.saturating_sub(1).max(1) as f32
+        self.ratios / self.responses.max(1) as f32
     }
 }
 
@@ -139,9 +143,11 @@
     /// When the limit last fell. Responses to earlier requests show the queues that
     /// it was meant to shorten.
     decreased_at: Option<Instant>,
-    /// When the service became overloaded, if the limit has fallen since at least once
-    /// in [`AdmissionOptions::overload_ttl`].
+    /// When the service became overloaded.
     overloaded_since: Option<Instant>,
+    /// When it was last seen to be: the limit fell, or held openings back while
+    /// responses took about as long as the goal.
+    overload_seen_at: Option<Instant>,
     /// Openings of about the last [`OFFER_WINDOW`].
     offered: f32,
     offered_at: Instant,
@@ -160,6 +166,7 @@
             batch: Batch::default(),
             decreased_at: None,
             overloaded_since: None,
+            overload_seen_at: None,
             offered: 0.0,
             offered_at: Instant::START,
             admitted_at: None,
@@ -212,10 +219,10 @@
         in_flight == 0 && self.admitted_at.is_none_or(|at| now.since(at) >= gap)
     }
 
-    /// Returns whether the limit has fallen of late, so that openings beyond it are
+    /// Returns whether the service is overloaded, so that openings beyond the limit are
     /// refused.
     pub fn is_overloaded(&self, options: &AdmissionOptions, now: Instant) -> bool {
-        self.decreased_at
+        self.overload_seen_at
             .is_some_and(|at| now.since(at) < options.overload_ttl)
     }
 
@@ -304,14 +311,20 @@
         self.batch.responses += 1;
         let ratio = (took / goal.max(f32::MIN_POSITIVE)).min(MAX_RATIO);
         self.batch.ratios += ratio;
-        self.batch.largest = self.batch.largest.max(ratio);
-        let is_full = self.batch.responses >= options.min_responses.max(self.batch.peak);
-        let is_due = self.batch.was_limited
-            && self.batch.responses >= options.min_increase_responses
-            && now.since(self.batch.since) >= options.increase_interval
-            && self.batch.mean_ratio() < options.fast_below;
-        if is_full || is_due {
+        self.batch.slow += u32::from(ratio > 1.0);
+        let span = now.since(self.batch.since);
+        let is_full = self.batch.responses >= options.min_responses;
+        let is_due = self.batch.responses >= options.min_increase_responses
+            && span >= options.increase_interval;
+        let is_slow = self.batch.is_slow();
+        let may_increase = self.batch.was_limited && span >= self.response_time();
+        if is_full && (is_slow || may_increase) || is_due && may_increase && !is_slow {
             self.adjust(options, now);
+        } else if is_full && !self.batch.was_limited {
+            self.batch = Batch {
+                since: now,
+                ..Batch::default()
+            };
         }
     }
 
@@ -324,14 +337,18 @@
             },
         );
         let ratio = batch.mean_ratio();
-        if ratio > 1.0 {
+        if batch.is_slow() && ratio > 1.0 {
             let used = self.limit.min(batch.peak.max(1) as f32);
             self.limit = used * (1.0 / ratio).max(options.max_decrease);
             if !self.is_overloaded(options, now) {
                 self.overloaded_since = Some(now);
             }
             self.decreased_at = Some(now);
+            self.overload_seen_at = Some(now);
         } else if batch.was_limited {
+            if ratio >= options.fast_below && self.is_overloaded(options, now) {
+                self.overload_seen_at = Some(now);
+            }
             let needed =
                 self.offered_in_window(now) / OFFER_WINDOW.as_secs_f64() as f32 * self.baseline;
             let span = now.since(batch.since).as_secs_f64() as f32;
--- a/crates/cicadaweir-core/src/steer/steering/admitting.rs
+++ b/crates/cicadaweir-core/src/steer/steering/admitting.rs
@@ -136,6 +136,14 @@
         self.pending.trim(route.service, max);
     }
 
+    /// Returns whether openings of a service beyond its limit are refused.
+    fn is_overloaded(&self, now: Instant, service: ServiceKey) -> bool {
+        let options = self.options.admission;
+        let limit = self.limits.get(service.0 as usize);
+        options.policy != LimitPolicy::Unlimited
+            && limit.is_some_and(|limit| limit.is_overloaded(&options, now))
+    }
+
     /// Removes a pending opening whose deadline has passed. It is refused if its service
     /// is overloaded and the refusal is true, and placed if there is no sign of
     /// overload. `Err` is to be dropped: its caller sends another copy.
@@ -144,13 +152,8 @@
         now: Instant,
     ) -> Option<Result<PendingPacket, PendingPacket>> {
         let overdue = self.pending.pop_overdue(now)?;
-        let options = self.options.admission;
-        let limit = overdue
-            .class
-            .and_then(|class| self.limits.get(class.service.0 as usize));
-        let is_overloaded = options.policy != LimitPolicy::Unlimited
-            && limit.is_some_and(|limit| limit.is_overloaded(&options, now));
-        if !is_overloaded {
+        let class = overdue.class;
+        if !class.is_some_and(|class| self.is_overloaded(now, class.service)) {
             return Some(Ok(overdue));
         }
         if self.may_refuse(now, &overdue.segment, overdue.since) {
--- a/crates/cicadaweir-lab/tests/overload.rs
+++ b/crates/cicadaweir-lab/tests/overload.rs
@@ -10,15 +10,15 @@
             ..Site::default()
         };
         let handles: Vec<_> = [
-            (LimitPolicy::Objective, 0.45, 0.05, 1u64),
-            (LimitPolicy::Objective, 0.45, 0.1, 1),
-            (LimitPolicy::Objective, 0.45, 0.025, 1),
-            (LimitPolicy::Objective, 0.5, 0.05, 1),
-            (LimitPolicy::Objective, 0.45, 0.05, 0),
-            (LimitPolicy::Objective, 0.4, 0.05, 1),
+            (0.35, 0.05, 0.5f32),
+            (0.4, 0.05, 0.5),
+            (0.45, 0.05, 0.5),
+            (0.5, 0.05, 0.5),
+            (0.45, 0.05, 0.0),
+            (0.45, 0.1, 0.5),
         ]
         .iter()
-        .map(|&(policy, goal, wait, crowd)| {
+        .map(|&(goal, wait, dw)| {
             std::thread::spawn(move || {
                 let mut options = Options {
                     admission: AdmissionOptions {
@@ -27,11 +27,10 @@
                     },
                     ..Options::default()
                 };
-                options.admission.policy = policy;
                 options.admission.goal = goal;
                 options.admission.max_wait = wait;
-                options.admission.crowd_time = cicadaweir_core::time::Duration::from_secs(crowd);
-                let mut line = format!("{vms} {:?}:", (policy, goal, wait, crowd));
+                options.delay_weight = dw;
+                let mut line = format!("{vms} {:?}:", (goal, wait, dw));
                 for x in [0.33, 0.66, 0.85, 1.0, 1.5, 2.0, 3.0, 8.4, 8.6, 8.9, 9.0] {
                     if vms > 9 && ![0.66, 1.5, 8.6, 9.0].contains(&x) {
                         continue;
