--- a/crates/cicadaweir-core/src/steer/admission.rs
+++ b/crates/cicadaweir-core/src/steer/admission.rs
@@ -66,6 +66,8 @@
     pub fast_below: f32,
     /// The first limit, as a fraction of the slots of all targets of the service.
     pub initial: f32,
+    /// The smallest first limit in requests in flight.
+    pub min_initial: f32,
     /// The longest wait of an opening for admission while a service stays overloaded, as
     /// a fraction of the latency objective: waiting would only make the answer later.
     pub max_wait: f32,
@@ -92,6 +94,7 @@
             fast_increase: 1.5,
             fast_below: 0.75,
             initial: 0.25,
+            min_initial: 4.0,
             max_wait: 0.05,
             overload_ttl: Duration::from_secs(2),
             crowd_time: Duration::from_secs(1),
@@ -176,17 +179,19 @@
 }
 
 impl ConcurrencyLimit {
-    /// Sets the slots of all targets of the service. The first time it sets the
-    /// limit too.
+    /// Sets the slots of all targets of the service, and the limit until the first
+    /// response.
     pub fn set_slots(&mut self, options: &AdmissionOptions, slots: u32) {
-        let first = slots as f32 * options.initial;
-        if self.slots == 0 || first < self.limit && self.responses == 0 {
-            self.limit = first.max(1.0);
-        }
-        self.limit = self
-            .limit
-            .max(if self.responses == 0 { first } else { 0.0 });
+        let is_new = self.slots == 0 || self.responses == 0;
         self.slots = slots;
+        if is_new {
+            self.limit = self.initial_limit(options);
+        }
+    }
+
+    /// Returns the limit without any sign of overload.
+    fn initial_limit(&self, options: &AdmissionOptions) -> f32 {
+        (self.slots as f32 * options.initial).max(options.min_initial)
     }
 
     /// Returns the limit in requests in flight.
@@ -321,6 +326,9 @@
         if is_full && (is_slow || may_increase) || is_due && may_increase && !is_slow {
             self.adjust(options, now);
         } else if is_full && !self.batch.was_limited {
+            if !self.is_overloaded(options, now) {
+                self.limit = self.limit.max(self.initial_limit(options));
+            }
             self.batch = Batch {
                 since: now,
                 ..Batch::default()
--- a/crates/cicadaweir-core/src/steer/flows.rs
+++ b/crates/cicadaweir-core/src/steer/flows.rs
@@ -48,6 +48,10 @@
     /// When the caller first sent the data that it now retransmits; none if the
     /// target has answered since.
     pub unanswered_since: Option<Instant>,
+    /// Whether a packet of the request in flight was sent again.
+    pub was_retransmitted: bool,
+    /// Whether the request in flight is the first of a flow that was placed here.
+    pub is_first: bool,
     /// Whether neither an answer nor a copy has followed the opening in time.
     pub is_lost: bool,
     /// The sequence number of the opening; none for an adopted flow.
@@ -72,10 +76,15 @@
     pub request_started: bool,
     /// The request in flight was answered, or its flow was closed.
     pub request_ended: bool,
+    /// The request that ended was the first of a flow that was placed here.
+    pub first_ended: bool,
     /// The time from the first opening to the acknowledgement of its answer.
     pub opening_took: Option<Duration>,
     /// The time from the request to the acknowledgement of its response.
     pub request_took: Option<Duration>,
+    /// A packet of the request was sent again, so that its time shows a loss or a cut
+    /// rather than a queue (Karn's algorithm).
+    pub was_retransmitted: bool,
     /// The packet closes or resets the flow.
     pub closed: bool,
 }
@@ -98,6 +107,8 @@
             last_packet: now,
             request_since: Some(now),
             unanswered_since: None,
+            was_retransmitted: segment.copy > 0,
+            is_first: true,
             is_lost: false,
             opening_sequence: Some(segment.sequence),
             ack: 0,
@@ -111,6 +122,9 @@
         Self {
             phase: FlowPhase::Open,
             request_since: None,
+            // The entry VM that placed the flow may have seen earlier copies.
+            was_retransmitted: true,
+            is_first: false,
             opening_sequence: None,
             ack: segment.ack,
             sequence: segment.sequence.wrapping_sub(1),
@@ -131,6 +145,7 @@
         let previous_packet = std::mem::replace(&mut self.last_packet, now);
         let was_opening = self.phase == FlowPhase::Opening;
         let advanced = segment.ack.wrapping_sub(self.ack) as i32 > 0;
+        progress.was_retransmitted = self.was_retransmitted;
         if was_opening {
             self.phase = FlowPhase::Open;
             self.ack = segment.ack;
@@ -151,12 +166,17 @@
             progress.request_took = Some(now.since(since));
             progress.request_ended = true;
         }
+        if progress.request_ended {
+            self.was_retransmitted = false;
+            progress.first_ended = std::mem::take(&mut self.is_first);
+        }
         match segment.kind {
             PacketKind::Data => self.observe_data(segment, now, &mut progress),
             PacketKind::Closing | PacketKind::Reset if self.phase != FlowPhase::Closed => {
                 self.phase = FlowPhase::Closed;
                 progress.closed = true;
                 progress.request_ended |= self.request_since.take().is_some();
+                progress.first_ended |= std::mem::take(&mut self.is_first);
             }
             _ => {}
         }
@@ -173,6 +193,7 @@
                 progress.request_started = true;
             }
         } else if segment.sequence == self.sequence {
+            self.was_retransmitted = true;
             let first_sent = *self.unanswered_since.get_or_insert(self.sequence_at);
             progress.retransmitted = Some(first_sent);
         }
@@ -232,6 +253,7 @@
                 flow.is_lost = true;
                 flow.request_since = None;
                 each(flow, Expired::Opening);
+                flow.is_first = false;
             }
             let timed_out = flow
                 .request_since
@@ -239,6 +261,7 @@
             if timed_out && idle_time > options.request_ttl {
                 flow.request_since = None;
                 each(flow, Expired::Request);
+                flow.is_first = false;
             }
             true
         });
--- a/crates/cicadaweir-core/src/steer/load.rs
+++ b/crates/cicadaweir-core/src/steer/load.rs
@@ -16,6 +16,8 @@
     /// Requests without a response so far; a new flow counts as one from its
     /// opening on.
     pub in_flight: u32,
+    /// Those of them that are the first of their flow: only these can be refused.
+    pub first_in_flight: u32,
     recent_requests: f32,
     decayed_at: Instant,
     /// The mean of the latest response times in seconds.
@@ -41,9 +43,17 @@
         self.decayed_at = now;
     }
 
-    /// Counts a request that was answered or has expired.
-    pub fn request_ended(&mut self) {
+    /// Counts the first request of a flow that was placed here, with
+    /// [`TargetLoad::request_started`].
+    pub fn first_started(&mut self) {
+        self.first_in_flight += 1;
+    }
+
+    /// Counts a request that was answered or has expired; `is_first` tells whether it
+    /// was the first of its flow.
+    pub fn request_ended(&mut self, is_first: bool) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.first_in_flight = self.first_in_flight.saturating_sub(u32::from(is_first));
     }
 
     /// Records a response.
--- a/crates/cicadaweir-core/src/steer/options.rs
+++ b/crates/cicadaweir-core/src/steer/options.rs
@@ -70,6 +70,10 @@
     /// The time since its arrival within which an opening can be refused truthfully:
     /// less than a caller's first retransmission interval of 200 ms.
     pub refusal_window: Duration,
+    /// The time between two packets or ticks from which on this process was paused:
+    /// twice the interval of ticks. Response times that include a pause show nothing of
+    /// the targets.
+    pub pause: Duration,
     /// How long an opening without an answer, a copy or a closing packet counts as a
     /// request in flight: its target has probably refused it, without this entry VM
     /// seeing the answer. Longer than a caller's first retransmission interval.
@@ -142,6 +146,7 @@
             store_read_timeout: Duration::from_millis(1_200),
             capacity_timeout: Duration::from_millis(150),
             refusal_window: Duration::from_millis(190),
+            pause: Duration::from_millis(400),
             opening_answer_timeout: Duration::from_millis(350),
             copy_timeout: Duration::from_millis(800),
             full_per_slot: 3.0,
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -44,6 +44,10 @@
     limits: Vec<ConcurrencyLimit>,
     /// By service: whether it was refusing openings at the last tick.
     refusing: Vec<bool>,
+    /// The last packet or tick.
+    active_at: Instant,
+    /// When this process was last found to have been paused.
+    resumed_at: Instant,
     store_read: bool,
     store_viewed_at: Option<Instant>,
     observations: Vec<Observation>,
@@ -70,6 +74,8 @@
             response_times: HashMap::new(),
             limits: Vec::new(),
             refusing: Vec::new(),
+            active_at: Instant::START,
+            resumed_at: Instant::START,
             store_read: false,
             store_viewed_at: None,
             observations: Vec::new(),
@@ -183,6 +189,7 @@
 
     /// Decides on a packet that has just arrived.
     pub fn packet(&mut self, now: Instant, segment: &Segment) -> Verdict {
+        self.record_activity(now);
         let verdict = self.decide_new(now, segment);
         self.counters.count(&verdict);
         verdict
@@ -272,13 +279,14 @@
     /// Evicts expired flows, requests and targets; to be called a few times a
     /// second.
     pub fn tick(&mut self, now: Instant) {
+        self.record_activity(now);
         let options = self.options;
         let idle_ttl = options.flow_ttl.max(self.directory.idle_timeout());
         let loads = &mut self.loads;
         self.flows.expire(now, idle_ttl, &options, |flow, expired| {
             let load = &mut loads[flow.target.0 as usize];
             match expired {
-                Expired::Request | Expired::Opening => load.request_ended(),
+                Expired::Request | Expired::Opening => load.request_ended(flow.is_first),
                 Expired::Flow => release_load(load, flow),
             }
         });
@@ -291,6 +299,13 @@
         self.observe_refusals(now);
     }
 
+    fn record_activity(&mut self, now: Instant) {
+        if now.since(self.active_at) > self.options.pause {
+            self.resumed_at = now;
+        }
+        self.active_at = self.active_at.max(now);
+    }
+
     /// Decides on a packet before the whole store has been read: it is sent if
     /// a target for it is known already, and waits otherwise.
     ///
@@ -356,6 +371,7 @@
             let load = &mut self.loads[target.0 as usize];
             load.flow_opened();
             load.request_started(now);
+            load.first_started();
             let in_flight = self.service_in_flight(service);
             self.limit_mut(service).record_admitted(now, in_flight);
         }
@@ -495,8 +511,10 @@
                 let service = entry.service;
                 let aim = self.directory.aim(&segment.flow.address);
                 let options = self.options.admission;
-                self.limit_mut(service)
-                    .record_response(&options, now, took, aim);
+                if !progress.was_retransmitted && now - took >= self.resumed_at {
+                    self.limit_mut(service)
+                        .record_response(&options, now, took, aim);
+                }
             }
             self.observations
                 .push(Observation::RequestAnswered { took });
@@ -506,7 +524,7 @@
             load.record_response(now, took);
         }
         if progress.request_ended {
-            load.request_ended();
+            load.request_ended(progress.first_ended);
         }
         if progress.request_started {
             load.request_started(now);
@@ -527,7 +545,7 @@
         load.flow_closed();
     }
     if flow.request_since.is_some() {
-        load.request_ended();
+        load.request_ended(flow.is_first);
     }
 }
 
@@ -540,5 +558,8 @@
     load.flow_opened();
     if flow.request_since.is_some() {
         load.request_started(now);
+        if flow.is_first {
+            load.first_started();
+        }
     }
 }
--- a/crates/cicadaweir-core/src/steer/steering/admitting.rs
+++ b/crates/cicadaweir-core/src/steer/steering/admitting.rs
@@ -4,8 +4,8 @@
     catalog::ServiceKey,
     packet::PacketKind,
     steer::{
-        ConcurrencyLimit, Fate, LimitPolicy, Observation, OpeningClass, PendingPacket, ResetReason,
-        RouteMatch, Segment, Verdict, WaitReason,
+        ConcurrencyLimit, DropReason, Fate, LimitPolicy, Observation, OpeningClass, PendingPacket,
+        ResetReason, RouteMatch, Segment, Verdict, WaitReason,
     },
     time::{Duration, Instant},
 };
@@ -16,16 +16,19 @@
 const REFUSING_TTL: Duration = Duration::from_secs(2);
 
 impl Steering {
-    /// Returns the limit of a service's requests in flight from this entry VM.
+    /// Returns the limit of a service's first requests in flight from this entry VM.
     pub fn service_limit(&self, service: ServiceKey) -> f32 {
         let limit = self.limits.get(service.0 as usize);
         limit.map_or(f32::INFINITY, |limit| limit.limit(&self.options.admission))
     }
 
-    /// Returns the requests of a service in flight from this entry VM.
+    /// Returns the first requests of flows of a service that are in flight from this
+    /// entry VM. Later requests can't be refused, and show in the response times.
     pub fn service_in_flight(&self, service: ServiceKey) -> u32 {
         let targets = self.directory.service_targets(service).iter();
-        targets.map(|&key| self.target_load(key).in_flight).sum()
+        targets
+            .map(|&key| self.target_load(key).first_in_flight)
+            .sum()
     }
 
     /// Returns the response time of a service without queues, in seconds.
@@ -111,12 +114,17 @@
         Verdict::Reset(ResetReason::Overloaded)
     }
 
-    /// Decides on an opening that leaves the queue to be refused.
+    /// Decides on an opening that leaves the queue to be refused. It is dropped if this
+    /// process was paused meanwhile, so that a copy may have passed elsewhere.
     pub(super) fn refuse_pending(&mut self, now: Instant, pending: &PendingPacket) -> Verdict {
         let draw = u64::from(pending.packet.0);
-        match self.directory.route(&pending.segment.flow.address, draw) {
-            Some(route) => self.refuse(now, &route),
-            None => self.missing_route_verdict(now),
+        let Some(route) = self.directory.route(&pending.segment.flow.address, draw) else {
+            return self.missing_route_verdict(now);
+        };
+        if self.may_refuse(now, &pending.segment, pending.since) {
+            self.refuse(now, &route)
+        } else {
+            Verdict::Drop(DropReason::Waited)
         }
     }
 
--- a/crates/cicadaweir-core/tests/steer/main.rs
+++ b/crates/cicadaweir-core/tests/steer/main.rs
@@ -1,5 +1,6 @@
 //! Steering by cookie.
 
+mod admission;
 mod affinity;
 mod directory;
 mod flows;
--- a/crates/cicadaweird/src/steered/engine.rs
+++ b/crates/cicadaweird/src/steered/engine.rs
@@ -229,8 +229,9 @@
 
     /// Returns whether a planned stop has completed.
     pub fn has_stopped(&self) -> bool {
+        let decided_all = !self.steering.has_pending();
         self.stopping
-            .is_some_and(|s| s.is_complete(self.clock, true))
+            .is_some_and(|s| s.is_complete(self.clock, decided_all))
     }
 
     /// Runs periodic work that is due.
