fix: first requests that a dead target has reset don't use up their service's limit

Cause: a target that dies after the handshake resets its callers directly; their requests counted as in flight for 2.5 s, so that openings to other targets waited. Change: without a packet for 600 ms a first request no longer counts against the limit. Result: a test of steer/admission.rs, which failed before (3 in flight).

--- a/crates/cicadaweir-core/src/steer/flows.rs
+++ b/crates/cicadaweir-core/src/steer/flows.rs
@@ -255,6 +255,13 @@
                 each(flow, Expired::Opening);
                 flow.is_first = false;
             }
+            if flow.is_first
+                && flow.phase == FlowPhase::Open
+                && idle_time > options.first_request_timeout
+            {
+                each(flow, Expired::First);
+                flow.is_first = false;
+            }
             let timed_out = flow
                 .request_since
                 .is_some_and(|at| now.since(at) > options.request_ttl);
@@ -285,6 +292,9 @@
     Flow,
     /// Only the flow's request in flight.
     Request,
+    /// The first request of a flow, for the limit of its service alone: its caller has
+    /// sent nothing for long.
+    First,
     /// The request in flight of an opening that neither an answer nor a copy has
     /// followed: its target has probably refused it.
     Opening,
--- a/crates/cicadaweir-core/src/steer/load.rs
+++ b/crates/cicadaweir-core/src/steer/load.rs
@@ -49,6 +49,12 @@
         self.first_in_flight += 1;
     }
 
+    /// Counts the first request of a flow that no longer counts against its service's
+    /// limit.
+    pub fn first_expired(&mut self) {
+        self.first_in_flight = self.first_in_flight.saturating_sub(1);
+    }
+
     /// Counts a request that was answered or has expired; `is_first` tells whether it
     /// was the first of its flow.
     pub fn request_ended(&mut self, is_first: bool) {
--- a/crates/cicadaweir-core/src/steer/options.rs
+++ b/crates/cicadaweir-core/src/steer/options.rs
@@ -78,6 +78,10 @@
     /// request in flight: its target has probably refused it, without this entry VM
     /// seeing the answer. Longer than a caller's first retransmission interval.
     pub opening_answer_timeout: Duration,
+    /// How long the first request of a flow counts against the limit of its service
+    /// without a packet of its caller: its target has probably reset it, without this
+    /// entry VM seeing that. Longer than a response takes that is in time.
+    pub first_request_timeout: Duration,
     /// How long an opening waits for admission that can't be refused, because a copy
     /// of it may have passed elsewhere: the time that callers wait for an answer to
     /// their last copy.
@@ -148,6 +152,7 @@
             refusal_window: Duration::from_millis(190),
             pause: Duration::from_millis(400),
             opening_answer_timeout: Duration::from_millis(350),
+            first_request_timeout: Duration::from_millis(600),
             copy_timeout: Duration::from_millis(800),
             full_per_slot: 3.0,
             busy_per_slot: 2.0,
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -287,6 +287,7 @@
             let load = &mut loads[flow.target.0 as usize];
             match expired {
                 Expired::Request | Expired::Opening => load.request_ended(flow.is_first),
+                Expired::First => load.first_expired(),
                 Expired::Flow => release_load(load, flow),
             }
         });
--- a/crates/cicadaweir-core/tests/steer/admission.rs
+++ b/crates/cicadaweir-core/tests/steer/admission.rs
@@ -329,6 +329,24 @@
     assert_eq!(driver.vm.service_in_flight(service), 0);
 }
 
+// A target dies after the handshake and resets its callers directly.
+#[test]
+fn a_first_request_that_nothing_follows_no_longer_counts_against_the_limit() {
+    let mut driver = Driver::new();
+    for _ in 0..3 {
+        let (key, verdict) = driver.offer(0, LOW_PORT, 0);
+        let placed = driver.placed(key, verdict);
+        let packet = acknowledgement(placed.flow, cookie(placed.target), 1_000);
+        driver.vm.packet(ms(10), &packet);
+    }
+    let service = driver.service();
+    assert_eq!(driver.vm.service_in_flight(service), 3);
+    for at in (200..=800).step_by(200) {
+        driver.vm.tick(ms(at));
+    }
+    assert_eq!(driver.vm.service_in_flight(service), 0);
+}
+
 #[test]
 fn the_start_and_the_end_of_refusals_are_reported_with_their_inputs() {
     let mut driver = Driver::new();
