--- a/crates/cicadaweird/src/steered/client.rs
+++ b/crates/cicadaweird/src/steered/client.rs
@@ -72,6 +72,41 @@
     pub rejected: Vec<Rejection>,
 }
 
+impl StoreAnswer {
+    /// Decodes the response body of a range read.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Malformed`] if the body as a whole can't be decoded.
+    pub fn from_page(body: &[u8]) -> Result<Self, StoreError> {
+        let page = store::decode_page(body).map_err(malformed)?;
+        Ok(Self {
+            response: StoreResponse::Page {
+                items: page.items.into_iter().map(item_from).collect(),
+                has_more: page.has_more,
+                as_of: page.as_of,
+            },
+            rejected: page.skipped.into_iter().map(rejection).collect(),
+        })
+    }
+
+    /// Decodes the response body of a watch.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Malformed`] if the body as a whole can't be decoded.
+    pub fn from_events(body: &[u8]) -> Result<Self, StoreError> {
+        let events = store::decode_events(body).map_err(malformed)?;
+        Ok(Self {
+            response: StoreResponse::Events {
+                items: events.events.into_iter().map(item_from_event).collect(),
+                as_of: events.as_of,
+            },
+            rejected: events.skipped.into_iter().map(rejection).collect(),
+        })
+    }
+}
+
 /// A client of the store.
 #[derive(Debug, Clone)]
 pub struct StoreClient {
@@ -214,15 +249,7 @@
         if status != 200 {
             return Err(StoreError::Status(status));
         }
-        let page = store::decode_page(&body).map_err(malformed)?;
-        Ok(StoreAnswer {
-            response: StoreResponse::Page {
-                items: page.items.into_iter().map(item_from).collect(),
-                has_more: page.has_more,
-                as_of: page.as_of,
-            },
-            rejected: page.skipped.into_iter().map(rejection).collect(),
-        })
+        StoreAnswer::from_page(&body)
     }
 
     /// Waits up to `wait` for changes of the keys that begin with `prefix` after a
@@ -261,14 +288,7 @@
             410 => return Ok(compacted(Vec::new())),
             status => return Err(StoreError::Status(status)),
         }
-        let events = store::decode_events(&body).map_err(malformed)?;
-        Ok(StoreAnswer {
-            response: StoreResponse::Events {
-                items: events.events.into_iter().map(item_from_event).collect(),
-                as_of: events.as_of,
-            },
-            rejected: events.skipped.into_iter().map(rejection).collect(),
-        })
+        StoreAnswer::from_events(&body)
     }
 
     fn get(&self, path: &str, timeout: Duration) -> Result<(u16, Vec<u8>), StoreError> {
--- a/crates/cicadaweird/src/steered/follow.rs
+++ b/crates/cicadaweird/src/steered/follow.rs
@@ -189,7 +189,7 @@
             self.feed.record(&received.response, confirmed_at);
             mirror.handle_response(now(), received.response, &mut updates);
             let mut rejected = received.rejected;
-            let update = store_update(
+            let update = StoreUpdate::new(
                 &mut updates,
                 received.sent_at,
                 mirror.revision(),
@@ -370,42 +370,42 @@
 }
 
 impl StoreUpdate {
-    /// Returns whether there is nothing to apply.
-    fn is_empty(&self) -> bool {
-        self.changes.is_empty() && !self.complete && !self.current
-    }
-}
-
-/// Builds the input of the event loop from the mirror's updates, and clears them.
-/// Values that can't be used are appended to `rejected`.
-fn store_update(
-    updates: &mut Vec<Update>,
-    viewed_at: time::Instant,
-    revision: u64,
-    rejected: &mut Vec<Rejection>,
-) -> StoreUpdate {
-    let mut batch = StoreUpdate {
-        changes: Vec::new(),
-        complete: false,
-        current: false,
-        viewed_at,
-        revision,
-    };
-    for update in updates.drain(..) {
-        match update {
-            Update::Complete => batch.complete = true,
-            Update::Current => batch.current = true,
-            Update::Written { key, value, .. } => {
-                batch.changes.extend(decode_change(&key, &value, rejected));
-            }
-            Update::Removed { key, .. } => {
-                if let Some(name) = key.strip_prefix(TARGETS_PREFIX) {
-                    batch
-                        .changes
-                        .push(Change::TargetRemoved { name: name.into() });
+    /// Builds the input of the event loop from the mirror's updates, and clears them.
+    /// Values that can't be used are appended to `rejected`.
+    pub fn new(
+        updates: &mut Vec<Update>,
+        viewed_at: time::Instant,
+        revision: u64,
+        rejected: &mut Vec<Rejection>,
+    ) -> Self {
+        let mut batch = Self {
+            changes: Vec::new(),
+            complete: false,
+            current: false,
+            viewed_at,
+            revision,
+        };
+        for update in updates.drain(..) {
+            match update {
+                Update::Complete => batch.complete = true,
+                Update::Current => batch.current = true,
+                Update::Written { key, value, .. } => {
+                    batch.changes.extend(decode_change(&key, &value, rejected));
+                }
+                Update::Removed { key, .. } => {
+                    if let Some(name) = key.strip_prefix(TARGETS_PREFIX) {
+                        batch
+                            .changes
+                            .push(Change::TargetRemoved { name: name.into() });
+                    }
                 }
             }
         }
+        batch
+    }
+
+    /// Returns whether there is nothing to apply.
+    fn is_empty(&self) -> bool {
+        self.changes.is_empty() && !self.complete && !self.current
     }
-    batch
 }
