--- a/crates/cicadaweir-lab/src/main.rs
+++ b/crates/cicadaweir-lab/src/main.rs
@@ -71,6 +71,16 @@
     /// Compares egress scheduling policies for short answers next to downloads
     #[bpaf(command)]
     Pacing,
+    /// Measures goodput against offered load behind entry VMs that steer by cookie
+    #[bpaf(command)]
+    Overload {
+        /// Number of seeds for each point
+        #[bpaf(argument("N"), fallback(3))]
+        seeds: u64,
+        /// The folder of the plot
+        #[bpaf(argument("FOLDER"), fallback("docs/measurements".to_owned()))]
+        out: String,
+    },
     /// Prints the packets of one caller, by default the first whose flow breaks
     #[bpaf(command)]
     Trace {
@@ -107,6 +117,7 @@
         Command::Fleet => commands::fleet_sizes(),
         Command::Capacity => commands::capacity(),
         Command::Pacing => commands::pacing(),
+        Command::Overload { seeds, out } => commands::overload(seeds, &out),
         Command::Trace {
             scenario,
             deployment,
--- a/crates/cicadaweir-lab/src/overload.rs
+++ b/crates/cicadaweir-lab/src/overload.rs
@@ -10,7 +10,9 @@
 //! | [`Site`] | entry VMs, targets and delays |
 //! | [`Load`] | the rate of requests over time, and what happens meanwhile |
 //! | [`Outcome`] | how requests ended, by the time at which they were made |
+//! | [`curve`] | goodput against offered load, for several policies |
 
+pub mod curve;
 mod load;
 mod outcome;
 mod site;
