--- a/crates/cicadaweir-soak/src/run.rs
+++ b/crates/cicadaweir-soak/src/run.rs
@@ -28,6 +28,12 @@
 /// permit resets.
 const RECOVERY_PERIOD: Duration = Duration::from_secs(4);
 
+/// The levels of nesting of an odd entry.
+const ODD_NESTING: usize = 100_000;
+
+/// The size of an odd entry in bytes.
+const ODD_BYTES: usize = 500_000;
+
 /// The interval at which the routers probe the readiness of daemons.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -221,6 +227,30 @@
         ));
         let extra = 10_000 + self.version as u16;
         self.site.put_config(self.version, &[ROUTE_PORT, extra]);
+        self.write_odd_entry();
+    }
+
+    /// Leaves an entry that no target wrote. The kind follows from the version, so that
+    /// the faults of a seed stay the same.
+    fn write_odd_entry(&self) {
+        let entry = |slots: &str, warmup: &str, port: u32| {
+            format!(
+                r#"{{"service":"classes","address":"127.0.0.1:{port}","zone":"a","version":"v1",
+                "slots":{slots},"state":"ready","warmupLeftMs":{warmup},"seq":1}}"#
+            )
+        };
+        let nested = "[".repeat(ODD_NESTING);
+        let odd = [
+            entry("4294967295", "0", 8_602),
+            entry("2", "1e300", 8_602),
+            entry("2", "0", 99_999),
+            entry("2", &nested, 8_602),
+            "\u{0}".repeat(ODD_BYTES),
+        ];
+        let value = &odd[self.version as usize % odd.len()];
+        self.print_progress(&format!("an odd entry is left: {value:.60}"));
+        let key = format!("servers/i-0dd{:x}", self.version % 4);
+        self.site.store.put(&key, value.as_bytes());
     }
 
     fn crash_target(&mut self) {
@@ -382,9 +412,7 @@
             self.site.wait_version(&self.daemons[index], version);
         }
         let answered = self.report.answered;
-        let mut tries = 0;
         wait_until("requests are answered again", || {
-            tries += 1;
             self.run_callers(Duration::from_millis(200));
             self.report.answered > answered
         });
--- a/crates/cicadaweird/src/control.rs
+++ b/crates/cicadaweird/src/control.rs
@@ -54,6 +54,16 @@
     pub body: String,
 }
 
+impl Reply {
+    /// Creates a reply whose body is a JSON object with the text under `error`.
+    pub fn error(code: u16, error: &str) -> Self {
+        Self {
+            code,
+            body: serde_json::json!({ "error": error }).to_string(),
+        }
+    }
+}
+
 /// Starts the endpoint on its own thread, which runs until `shared.ended` is
 /// set.
 ///
@@ -88,17 +98,12 @@
         (Method::Post, "/leave") => Ok(Query::Leave),
         (Method::Get, "/explain") => {
             let text = arguments.strip_prefix("flow=").unwrap_or_default();
-            trace::parse_flow(text)
-                .map(Query::Explain)
-                .ok_or_else(|| Reply {
-                    code: 400,
-                    body: format!("{{\"error\":\"flow {text:?} is not PROTOCOL,CALLER,ADDRESS\"}}"),
-                })
+            trace::parse_flow(text).map(Query::Explain).ok_or_else(|| {
+                let error = format!("flow {text:?} is not PROTOCOL,CALLER,ADDRESS");
+                Reply::error(400, &error)
+            })
         }
-        _ => Err(Reply {
-            code: 404,
-            body: "{\"error\":\"unknown call\"}".to_owned(),
-        }),
+        _ => Err(Reply::error(404, "unknown call")),
     }
 }
 
@@ -106,8 +111,5 @@
     let (tx, rx) = channel();
     let sent = inbox.send(Input::Query(query, tx));
     let reply = sent.then(|| rx.recv_timeout(REPLY_TIMEOUT).ok()).flatten();
-    reply.unwrap_or_else(|| Reply {
-        code: 503,
-        body: "{\"error\":\"the loop did not answer\"}".to_owned(),
-    })
+    reply.unwrap_or_else(|| Reply::error(503, "the loop did not answer"))
 }
--- a/crates/cicadaweird/src/platform/error.rs
+++ b/crates/cicadaweird/src/platform/error.rs
@@ -13,6 +13,16 @@
     Malformed(String),
 }
 
+impl PlatformError {
+    /// Returns the kind of the error in logs.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Unavailable(_) | Self::Status(_) => "store_unavailable",
+            Self::Malformed(_) => "store_malformed",
+        }
+    }
+}
+
 impl fmt::Display for PlatformError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/cicadaweird/src/platform/follow.rs
+++ b/crates/cicadaweird/src/platform/follow.rs
@@ -69,7 +69,7 @@
         match fetch_updates(&platform, version, shared, inbox) {
             Ok(next) => version = next,
             Err(err) => {
-                warn!(kind = "store_unavailable"; "{err}");
+                warn!(kind = err.kind(); "{err}");
                 thread::sleep(RETRY_DELAY);
             }
         }
@@ -168,7 +168,7 @@
                     let entries = list.iter().map(Into::into).collect();
                     inbox.send(Input::List(entries));
                 }
-                Err(err) => warn!(kind = "store_unavailable"; "membership list: {err}"),
+                Err(err) => warn!(kind = err.kind(); "membership list: {err}"),
             }
         }
         thread::sleep(if alone {
--- a/crates/cicadaweird/src/settings/cookie.rs
+++ b/crates/cicadaweird/src/settings/cookie.rs
@@ -83,6 +83,8 @@
     pub flow_ttl_secs: u64,
     /// Log lines per second of each kind; further lines are only counted.
     pub log_lines: u32,
+    /// Whether openings are refused that targets would not answer in time.
+    pub refuse: bool,
 }
 
 impl Default for CookieLimits {
@@ -94,6 +96,7 @@
             stop_most_ms: 4_500,
             flow_ttl_secs: 60,
             log_lines: 40,
+            refuse: true,
         }
     }
 }
--- a/crates/cicadaweird/src/steered/engine.rs
+++ b/crates/cicadaweird/src/steered/engine.rs
@@ -15,7 +15,8 @@
     hash,
     prelude::*,
     steer::{
-        DropReason, Observation, Options, Presence, Segment, Steering, TargetState, Trust, Verdict,
+        AdmissionOptions, DropReason, LimitPolicy, Observation, Options, Presence, Segment,
+        Steering, TargetState, Trust, Verdict,
     },
     time,
 };
@@ -73,7 +74,16 @@
             .duration_since(UNIX_EPOCH)
             .map_or(0, |d| d.as_millis() as u64);
         let rng_seed = hash::mix(hash::name(&settings.member.name), started_ms);
+        let policy = if settings.limits.refuse {
+            LimitPolicy::Objective
+        } else {
+            LimitPolicy::Unlimited
+        };
         let options = Options {
+            admission: AdmissionOptions {
+                policy,
+                ..AdmissionOptions::default()
+            },
             max_flows: settings.limits.flows as usize,
             flow_ttl: time::Duration::from_secs(settings.limits.flow_ttl_secs),
             ..Options::default()
@@ -273,10 +283,11 @@
             || settings.listen != self.settings.listen
             || settings.store != self.settings.store
             || settings.limits.flows != self.settings.limits.flows
+            || settings.limits.refuse != self.settings.limits.refuse
             || settings.limits.flow_ttl_secs != self.settings.limits.flow_ttl_secs;
         if needs_restart {
             warn!(
-                "reloaded in part: changes of member, listen, store and flow limits need a restart"
+                "reloaded in part: changes of member, listen, store, refuse and flow limits need a restart"
             );
         } else {
             info!("reloaded");
--- a/crates/cicadaweird/src/steered/engine/lines.rs
+++ b/crates/cicadaweird/src/steered/engine/lines.rs
@@ -69,9 +69,15 @@
         let (unanswered, silent) = target.map_or((0, time::Duration::ZERO), |target| {
             self.steering.recent_unanswered(self.now, target)
         });
+        let refused = (reason == ResetReason::Overloaded)
+            .then(|| directory.route(&segment.flow.address, 0))
+            .flatten();
         info!(
             flow:display = segment.flow,
             reason:display = reason,
+            priority = refused.map(|route| route.priority),
+            limit = refused.map(|route| self.steering.service_limit(route.service)),
+            in_flight = refused.map(|route| self.steering.service_in_flight(route.service)),
             target_name = target.and_then(|key| directory.target(key)).map(|entry| &*entry.name),
             strikes = unanswered,
             silent_ms = silent.as_millis(),
--- a/crates/cicadaweird/tests/settings.rs
+++ b/crates/cicadaweird/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Parsing and validation of settings files.
 
-use cicadaweird::settings::{Settings, SettingsError};
+use cicadaweird::settings::{CookieSettings, Settings, SettingsError};
 
 const EXAMPLE: &str = include_str!("../../../examples/entry-vm.toml");
 
@@ -54,3 +54,18 @@
     let err = Settings::parse(EXAMPLE, env).expect_err("the zone is not a number");
     assert!(err.to_string().contains("CICADAWEIR_MEMBER_ZONE"), "{err}");
 }
+
+#[test]
+fn openings_are_refused_under_overload_unless_the_settings_say_otherwise() {
+    let text = "carrier = \"cookie\"\n[member]\nname = \"vm\"\nzone = \"a\"\n[listen]\n\
+        packets = \"127.0.0.1:1\"\nready = \"127.0.0.1:2\"\nmetrics = \"127.0.0.1:3\"\n\
+        peer = \"127.0.0.1:4\"\n[store]\naddress = \"127.0.0.1:5\"\n";
+    let settings = CookieSettings::parse(text).expect("valid settings");
+    assert!(settings.limits.refuse);
+    let text = format!("{text}[limits]\nrefuse = false\n");
+    let settings = CookieSettings::parse(&text).expect("valid settings");
+    assert!(!settings.limits.refuse);
+    let text = text.replace("false", "\"no\"");
+    let err = CookieSettings::parse(&text).expect_err("not a boolean");
+    assert!(err.to_string().contains("refuse"), "{err}");
+}
