fix: an entry VM that starts while the store is down takes what a peer knows

Change: all keys are served with their age, however old they are (a stale read counts as ten seconds old); who takes them serves them to nobody as recent and resets nothing on their ground.

--- a/crates/cicadaweir-core/src/mirror/relay.rs
+++ b/crates/cicadaweir-core/src/mirror/relay.rs
@@ -23,6 +23,10 @@
 /// redirected to it: long enough for one watch to time out.
 const FOLLOWER_TTL: Duration = Duration::from_millis(1_600);
 
+/// The assumed age of a stale read: more than the seconds by which the store's stale
+/// reads lag behind.
+const STALE_READ_AGE: Duration = Duration::from_secs(10);
+
 /// Another entry VM that watches this one.
 #[derive(Debug)]
 struct Follower {
@@ -87,6 +91,9 @@
     /// When the store last confirmed the state, directly or through other entry
     /// VMs; absent if no source is available.
     confirmed_at: Option<Instant>,
+    /// When the state was last read, whether a source is available or not; earlier by
+    /// [`STALE_READ_AGE`] if it was a stale read.
+    read_at: Option<Instant>,
     followers: IndexMap<Endpoint, Follower>,
     next_redirect: usize,
     serves_seeds: bool,
@@ -102,18 +109,20 @@
         }
     }
 
-    /// Records a response of the store or of another entry VM. `confirmed_at` is
-    /// when the store sent the data; none for a stale read, whose age is unknown.
-    /// Only keys and changes confirm the state: compacted history says nothing
-    /// about it.
-    pub fn record(&mut self, response: &StoreResponse, confirmed_at: Option<Instant>) {
+    /// Records a response of the store or of another entry VM. `sent_at` is when the
+    /// store sent the data; `is_stale` tells that the data may be older than that.
+    /// Stale data confirms nothing, and neither does compacted history.
+    pub fn record(&mut self, response: &StoreResponse, sent_at: Instant, is_stale: bool) {
         self.log.record(response);
         let has_state = matches!(
             response,
             StoreResponse::Page { .. } | StoreResponse::Events { .. }
         );
         if has_state {
+            let confirmed_at = (!is_stale).then_some(sent_at);
             self.confirmed_at = self.confirmed_at.max(confirmed_at);
+            let read_at = confirmed_at.unwrap_or(sent_at - STALE_READ_AGE);
+            self.read_at = self.read_at.max(Some(read_at));
         }
     }
 
@@ -167,10 +176,11 @@
         }
     }
 
-    /// Returns all keys, and the time since the store confirmed them; none without
-    /// a view of the store.
+    /// Returns all keys, and the time since they were read, however long that is:
+    /// while the store is down, an entry VM that starts knows at least what the others
+    /// know. None before the first read.
     pub fn all(&self, now: Instant) -> Option<(StoreResponse, Duration)> {
-        Some((self.log.all()?, self.recent_age(now)?))
+        Some((self.log.all()?, now.since(self.read_at?)))
     }
 
     /// Returns when the store last confirmed the state; none without a source.
--- a/crates/cicadaweird/src/steered/feed.rs
+++ b/crates/cicadaweird/src/steered/feed.rs
@@ -91,12 +91,12 @@
         Ok(feed)
     }
 
-    /// Records a response of the store or of another entry VM. `confirmed_at` is when
-    /// the store sent the data; none for a stale read.
-    pub fn record(&self, response: &StoreResponse, confirmed_at: Option<Instant>) {
+    /// Records a response of the store or of another entry VM. `sent_at` is when the
+    /// store sent the data; `is_stale` tells that the data may be older than that.
+    pub fn record(&self, response: &StoreResponse, sent_at: Instant, is_stale: bool) {
         let mut state = self.lock();
         let before = state.relay.confirmed_at();
-        state.relay.record(response, confirmed_at);
+        state.relay.record(response, sent_at, is_stale);
         let has_news = state.relay.confirmed_at() > before;
         let has_pending = !state.pending.is_empty();
         drop(state);
--- a/crates/cicadaweird/src/steered/follow.rs
+++ b/crates/cicadaweird/src/steered/follow.rs
@@ -89,6 +89,8 @@
 struct Received {
     response: StoreResponse,
     sent_at: time::Instant,
+    /// Whether the data may be older than that, or is older than what counts as recent.
+    is_stale: bool,
     /// The items that can't be decoded.
     rejected: Vec<Rejection>,
 }
@@ -184,9 +186,8 @@
             {
                 last_change_at = Some(Instant::now());
             }
-            let is_stale = !from_peer && matches!(call, Call::Range { stale: true, .. });
-            let confirmed_at = (!is_stale).then_some(received.sent_at);
-            self.feed.record(&received.response, confirmed_at);
+            self.feed
+                .record(&received.response, received.sent_at, received.is_stale);
             mirror.handle_response(now(), received.response, &mut updates);
             let mut rejected = received.rejected;
             let update = StoreUpdate::new(
@@ -273,6 +274,7 @@
         Ok(Received {
             response: answer.response,
             sent_at: mirror::sent_at(requested_at, wait, clock::now(), time::Duration::ZERO),
+            is_stale: matches!(call, Call::Range { stale: true, .. }),
             rejected: answer.rejected,
         })
     }
@@ -297,7 +299,9 @@
             time::Duration::from_micros(response.age.as_micros() as u64),
         );
         let age = received_at.since(sent_at);
-        if age > max_age {
+        // All keys are needed by an entry VM that has none, however old they are; they
+        // count as a view of their age.
+        if age > max_age && watch.is_some() {
             return Err(StoreError::Malformed(format!(
                 "stale view: {} ms old, expected at most {} ms",
                 age.as_millis(),
@@ -307,6 +311,7 @@
         Ok(Received {
             response: response.response,
             sent_at,
+            is_stale: age > max_age,
             rejected: Vec::new(),
         })
     }
--- a/crates/cicadaweird/tests/steered/feed.rs
+++ b/crates/cicadaweird/tests/steered/feed.rs
@@ -1,7 +1,10 @@
 //! Daemons that follow the store through other daemons.
 
 use crate::PROGRAM;
-use cicadaweir_standins::steered::{ROUTE_PORT, SYN, Site, packet};
+use cicadaweir_standins::{
+    steered::{ROUTE_PORT, SYN, Site, packet},
+    store::{Availability, StoreFaults},
+};
 
 #[test]
 fn a_daemon_without_access_to_the_store_starts_and_follows_a_seed() {
@@ -110,3 +113,24 @@
     site.put_config(3, &[ROUTE_PORT, 81]);
     site.wait_version(&follower, 3.0);
 }
+
+// Found by the incident of klin-booth: entry VMs that started while the store was
+// down for all stayed without a configuration, though their peers had one.
+#[test]
+fn a_daemon_starts_from_a_peer_while_the_store_is_down_for_all() {
+    let site = Site::start(PROGRAM, 27, 1);
+    let seed = site.daemon(1, &[1]);
+    site.wait_ready(&seed);
+    site.store.set_faults(StoreFaults {
+        availability: Availability::Busy,
+        ..StoreFaults::default()
+    });
+    seed.wait_line(&["dependency lost", "Store"]);
+    let newcomer = site.daemon(2, &[1]);
+    site.wait_ready(&newcomer);
+    let (target, _) = site.send_until_delivered(&newcomer, &packet(1, ROUTE_PORT, SYN, 0, &[]));
+    assert_eq!(target, 1);
+    site.store.set_faults(StoreFaults::default());
+    site.put_config(8, &[ROUTE_PORT, 81]);
+    site.wait_version(&newcomer, 8.0);
+}
