fix: lines about targets have a rate limit; a refusal's line names its inputs

Result: changes_of_many_targets_do_not_flood_the_log, which no line of the code before would have passed.

--- a/crates/cicadaweird/src/logs/rate_limit.rs
+++ b/crates/cicadaweird/src/logs/rate_limit.rs
@@ -5,7 +5,7 @@
 /// The window in which lines are counted.
 const WINDOW: Duration = Duration::from_secs(1);
 
-/// Kinds of log lines whose number grows with the traffic.
+/// Kinds of log lines whose number grows with the traffic or the fleet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LineKind {
     /// A target was selected for a new flow.
@@ -22,11 +22,13 @@
     Suspicion,
     /// A value of the store was rejected.
     Rejected,
+    /// A target was added, changed or removed.
+    Directory,
 }
 
 impl LineKind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Opening,
         Self::Adopted,
         Self::Retransmitted,
@@ -34,6 +36,7 @@
         Self::Drop,
         Self::Suspicion,
         Self::Rejected,
+        Self::Directory,
     ];
 
     /// Returns the kind's name in log lines.
@@ -46,6 +49,7 @@
             Self::Drop => "drop",
             Self::Suspicion => "belief",
             Self::Rejected => "rejected",
+            Self::Directory => "directory",
         }
     }
 }
--- a/crates/cicadaweird/src/steered/engine/lines.rs
+++ b/crates/cicadaweird/src/steered/engine/lines.rs
@@ -64,20 +64,17 @@
         if !self.log_limiter.allows(LineKind::Reset, self.clock) {
             return;
         }
+        if reason == ResetReason::Overloaded {
+            return self.log_refusal(segment);
+        }
         let directory = self.steering.directory();
         let target = directory.by_cookie(segment.cookie);
         let (unanswered, silent) = target.map_or((0, time::Duration::ZERO), |target| {
             self.steering.recent_unanswered(self.now, target)
         });
-        let refused = (reason == ResetReason::Overloaded)
-            .then(|| directory.route(&segment.flow.address, 0))
-            .flatten();
         info!(
             flow:display = segment.flow,
             reason:display = reason,
-            priority = refused.map(|route| route.priority),
-            limit = refused.map(|route| self.steering.service_limit(route.service)),
-            in_flight = refused.map(|route| self.steering.service_in_flight(route.service)),
             target_name = target.and_then(|key| directory.target(key)).map(|entry| &*entry.name),
             strikes = unanswered,
             silent_ms = silent.as_millis(),
@@ -87,6 +84,25 @@
         );
     }
 
+    /// Logs the refusal of an opening, with the inputs of the decision.
+    fn log_refusal(&self, segment: &Segment) {
+        let directory = self.steering.directory();
+        let Some(route) = directory.route(&segment.flow.address, 0) else {
+            return;
+        };
+        info!(
+            flow:display = segment.flow,
+            reason:display = ResetReason::Overloaded,
+            service = directory.service_name(route.service),
+            priority = route.priority,
+            limit = self.steering.service_limit(route.service),
+            in_flight = self.steering.service_in_flight(route.service),
+            version = directory.version(),
+            view_age_ms = self.view_age_ms();
+            "flow reset"
+        );
+    }
+
     /// Logs a dropped packet.
     pub(super) fn log_drop(&mut self, segment: &Segment, reason: DropReason) {
         if !self.log_limiter.allows(LineKind::Drop, self.clock) {
@@ -142,7 +158,14 @@
     }
 
     /// Logs the effect of a change in the store.
-    pub(super) fn log_applied(&self, applied: Applied, revision: u64) {
+    pub(super) fn log_applied(&mut self, applied: Applied, revision: u64) {
+        let is_target = matches!(
+            applied,
+            Applied::NewTarget(_) | Applied::UpdatedTarget(_) | Applied::Departed(_)
+        );
+        if is_target && !self.log_limiter.allows(LineKind::Directory, self.clock) {
+            return;
+        }
         let directory = self.steering.directory();
         let (message, key) = match applied {
             Applied::Routes => {
--- a/crates/cicadaweird/tests/steered/store.rs
+++ b/crates/cicadaweird/tests/steered/store.rs
@@ -139,6 +139,22 @@
     assert_eq!(target, 1);
 }
 
+// Seen on compas-quito-large: 650 lines at each start.
+#[test]
+fn changes_of_many_targets_do_not_flood_the_log() {
+    let site = Site::start(PROGRAM, 19, 1);
+    let daemon = site.daemon(1, &[1]);
+    site.wait_ready(&daemon);
+    for n in 2..=150 {
+        site.put_target(n, "ready");
+    }
+    let metric = r#"cicadaweir_targets{state="ready"}"#;
+    wait_until("all targets are known", || {
+        site.metric(&daemon, metric) == Some(150.0)
+    });
+    daemon.wait_line(&["log lines suppressed by the rate limit", "kind=directory"]);
+}
+
 #[test]
 fn a_daemon_is_not_ready_until_the_store_is_available() {
     let site = Site::start(PROGRAM, 17, 1);
