fix: nothing that lay unread during a pause is refused; fast responses are never slow

Change: no refusal of what is read within 300 ms after a pause of 300 ms or more; the goal is 50 ms at least; a delay counts from 20 ms on, and at most eight times.

--- a/crates/cicadaweir-core/src/steer/admission.rs
+++ b/crates/cicadaweir-core/src/steer/admission.rs
@@ -20,6 +20,16 @@
 /// The weight of a response in the mean response time.
 const MEAN_WEIGHT: f32 = 1.0 / 16.0;
 
+/// The weight with which the baseline follows a higher mean at each response: it
+/// adapts to a permanently slower service within minutes.
+const BASELINE_DRIFT: f32 = 1.0 / 4_096.0;
+
+/// The goal without a latency objective, as a multiple of the baseline.
+const GOAL_PER_BASELINE: f32 = 2.0;
+
+/// The shortest goal in seconds: no caller notices that a response takes less.
+const MIN_GOAL: f32 = 0.05;
+
 /// The assumed response time before the first response, in seconds.
 const INITIAL_RESPONSE_TIME: f32 = 0.05;
 
@@ -37,9 +47,10 @@
     /// A fixed number of requests in flight from this entry VM, per slot of all
     /// targets of the service.
     Fixed(f32),
-    /// The limit follows the ratio of the baseline response time to the present one.
+    /// The goal is twice the lowest mean response time, whatever the objective.
     Gradient,
-    /// The limit follows the latency objective.
+    /// The goal is a fraction of the latency objective of the route, and that of
+    /// [`LimitPolicy::Gradient`] for routes without one.
     #[default]
     Objective,
 }
@@ -49,8 +60,8 @@
 pub struct AdmissionOptions {
     /// How openings are limited.
     pub policy: LimitPolicy,
-    /// The mean response time aimed at, as a fraction of the latency objective: the
-    /// slowest requests take a multiple of the mean.
+    /// The median response time aimed at, as a fraction of the latency objective: the
+    /// slowest requests take a multiple of the median.
     pub goal: f32,
     /// The smallest number of responses on which the limit is adjusted.
     pub min_responses: u32,
@@ -303,18 +314,19 @@
         self.baseline = if self.mean < self.baseline {
             self.mean
         } else {
-            self.baseline + (self.mean - self.baseline) / 4_096.0
+            self.baseline + (self.mean - self.baseline) * BASELINE_DRIFT
         };
         let goal = match (options.policy, aim) {
             (LimitPolicy::Objective, Some(aim)) => aim.as_secs_f64() as f32 * options.goal,
-            _ => self.baseline * 2.0,
+            _ => self.baseline * GOAL_PER_BASELINE,
         };
+        let goal = goal.max(MIN_GOAL);
         let placed_at = now - Duration::from_micros((took * 1e6) as u64);
         if self.decreased_at.is_some_and(|at| placed_at < at) {
             return;
         }
         self.batch.responses += 1;
-        let ratio = (took / goal.max(f32::MIN_POSITIVE)).min(MAX_RATIO);
+        let ratio = (took / goal).min(MAX_RATIO);
         self.batch.ratios += ratio;
         self.batch.slow += u32::from(ratio > 1.0);
         let span = now.since(self.batch.since);
@@ -336,6 +348,7 @@
         }
     }
 
+    /// Sets the limit by the responses since the last adjustment.
     fn adjust(&mut self, options: &AdmissionOptions, now: Instant) {
         let batch = std::mem::replace(
             &mut self.batch,
--- a/crates/cicadaweir-core/src/steer/load.rs
+++ b/crates/cicadaweir-core/src/steer/load.rs
@@ -5,6 +5,15 @@
 /// The time constant of the request rate's exponential decay.
 const RATE_WINDOW: Duration = Duration::from_millis(1_000);
 
+/// The shortest usual response time in seconds that delays are measured by.
+const MIN_USUAL: f32 = 0.02;
+
+/// The upper bound on a target's delay.
+const MAX_DELAY: f32 = 8.0;
+
+/// The weight of a response in the mean of a target's latest response times.
+const RESPONSE_WEIGHT: f32 = 0.4;
+
 /// The time constant of the decay of a target's delay.
 const DELAY_WINDOW: Duration = Duration::from_millis(300);
 
@@ -65,13 +74,12 @@
     /// Records a response.
     pub fn record_response(&mut self, now: Instant, took: Duration) {
         let took = took.as_secs_f64() as f32;
-        let weight = 0.4;
         let age = now.since(self.responded_at).as_secs_f64() / DELAY_WINDOW.as_secs_f64();
         let known = self.response_time * (-age).exp() as f32;
         self.response_time = if self.response_time == 0.0 {
             took
         } else {
-            known + (took - known) * weight
+            known + (took - known) * RESPONSE_WEIGHT
         };
         self.responded_at = now;
     }
@@ -80,7 +88,8 @@
     /// beyond once; it decays within [`DELAY_WINDOW`].
     pub fn delay(&self, now: Instant, usual: f32) -> f32 {
         let age = now.since(self.responded_at).as_secs_f64() / DELAY_WINDOW.as_secs_f64();
-        (self.response_time / usual - 1.0).max(0.0) * (-age).exp() as f32
+        let excess = self.response_time / usual.max(MIN_USUAL) - 1.0;
+        excess.clamp(0.0, MAX_DELAY) * (-age).exp() as f32
     }
 
     /// Returns the exponentially decayed number of requests of about the last
--- a/crates/cicadaweir-core/src/steer/options.rs
+++ b/crates/cicadaweir-core/src/steer/options.rs
@@ -71,8 +71,9 @@
     /// less than a caller's first retransmission interval of 200 ms.
     pub refusal_window: Duration,
     /// The time between two packets or ticks from which on this process was paused:
-    /// twice the interval of ticks. Response times that include a pause show nothing of
-    /// the targets.
+    /// a little more than the interval of ticks. Response times that include a pause show
+    /// nothing of the targets, and packets that are read within as long after it may
+    /// have arrived before.
     pub pause: Duration,
     /// How long an opening without an answer, a copy or a closing packet counts as a
     /// request in flight: its target has probably refused it, without this entry VM
@@ -150,7 +151,7 @@
             store_read_timeout: Duration::from_millis(1_200),
             capacity_timeout: Duration::from_millis(150),
             refusal_window: Duration::from_millis(190),
-            pause: Duration::from_millis(400),
+            pause: Duration::from_millis(300),
             opening_answer_timeout: Duration::from_millis(350),
             first_request_timeout: Duration::from_millis(600),
             copy_timeout: Duration::from_millis(800),
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -45,9 +45,9 @@
     /// By service: whether it was refusing openings at the last tick.
     refusing: Vec<bool>,
     /// The last packet or tick.
-    active_at: Instant,
+    active_at: Option<Instant>,
     /// When this process was last found to have been paused.
-    resumed_at: Instant,
+    resumed_at: Option<Instant>,
     store_read: bool,
     store_viewed_at: Option<Instant>,
     observations: Vec<Observation>,
@@ -74,8 +74,8 @@
             response_times: HashMap::new(),
             limits: Vec::new(),
             refusing: Vec::new(),
-            active_at: Instant::START,
-            resumed_at: Instant::START,
+            active_at: None,
+            resumed_at: None,
             store_read: false,
             store_viewed_at: None,
             observations: Vec::new(),
@@ -301,10 +301,11 @@
     }
 
     fn record_activity(&mut self, now: Instant) {
-        if now.since(self.active_at) > self.options.pause {
-            self.resumed_at = now;
+        let pause = self.options.pause;
+        if self.active_at.is_some_and(|at| now.since(at) > pause) {
+            self.resumed_at = Some(now);
         }
-        self.active_at = self.active_at.max(now);
+        self.active_at = self.active_at.max(Some(now));
     }
 
     /// Decides on a packet before the whole store has been read: it is sent if
@@ -512,7 +513,7 @@
                 let service = entry.service;
                 let aim = self.directory.aim(&segment.flow.address);
                 let options = self.options.admission;
-                if !progress.was_retransmitted && now - took >= self.resumed_at {
+                if !progress.was_retransmitted && Some(now - took) >= self.resumed_at {
                     self.limit_mut(service)
                         .record_response(&options, now, took, aim);
                 }
--- a/crates/cicadaweir-core/src/steer/steering/admitting.rs
+++ b/crates/cicadaweir-core/src/steer/steering/admitting.rs
@@ -70,8 +70,7 @@
         let route = self
             .directory
             .route(&pending.segment.flow.address, u64::from(pending.packet.0))?;
-        let may_refuse = self.may_refuse(now, &pending.segment, pending.since);
-        let wait = if may_refuse {
+        let wait = if self.is_fresh(now, &pending.segment, pending.since) {
             self.max_wait(now, &route)
         } else {
             self.options.copy_timeout
@@ -83,9 +82,20 @@
         })
     }
 
-    /// Returns whether a refusal of an opening that arrived at `since` is true: no copy
-    /// of it can have been sent to a target, here or by another entry VM.
+    /// Returns whether a refusal of an opening that was read at `since` is true: no copy
+    /// of it can have been sent to a target, here or by another entry VM. What is read
+    /// just after a pause of this process may have arrived long before.
     fn may_refuse(&self, now: Instant, segment: &Segment, since: Instant) -> bool {
+        let pause = self.options.pause;
+        let lay_unread = self
+            .resumed_at
+            .is_some_and(|resumed| since.since(resumed) < pause);
+        self.is_fresh(now, segment, since) && !lay_unread
+    }
+
+    /// Returns whether a packet that was read at `since` is a first copy, and its caller
+    /// has not sent another one since.
+    fn is_fresh(&self, now: Instant, segment: &Segment, since: Instant) -> bool {
         segment.kind == PacketKind::Opening
             && segment.copy == 0
             && now.since(since) < self.options.refusal_window
--- a/crates/cicadaweir-core/tests/steer/admission.rs
+++ b/crates/cicadaweir-core/tests/steer/admission.rs
@@ -4,7 +4,7 @@
     packet::PacketRef,
     prelude::*,
     steer::{
-        Change, Fate, Observation, Options, RequestKind, ResetReason, Route, RouteTable, Steering,
+        Change, Observation, Options, RequestKind, ResetReason, Route, RouteTable, Steering,
         Verdict, WaitReason,
     },
 };
@@ -106,8 +106,8 @@
     /// Offers and answers openings, `took` each, until `until`.
     fn load(&mut self, from: u64, until: u64, took: u64) {
         let mut at = from;
+        let mut open = Vec::new();
         while at < until {
-            let mut open = Vec::new();
             for _ in 0..10 {
                 let (key, verdict) = self.offer(at, LOW_PORT, 0);
                 if let Verdict::Place { .. } = verdict {
@@ -115,16 +115,18 @@
                 }
             }
             at += took;
-            for placed in open {
+            for placed in std::mem::take(&mut open) {
                 self.answer(at, placed);
             }
             for (pending, verdict) in self.decide(at) {
                 if let Verdict::Place { .. } = verdict {
-                    let placed = self.placed(pending, verdict);
-                    self.answer(at + took, placed);
+                    open.push(self.placed(pending, verdict));
                 }
             }
         }
+        for placed in open {
+            self.answer(at, placed);
+        }
     }
 
     /// Decides all pending openings that can be decided.
@@ -168,7 +170,7 @@
     let decided = driver.decide(2_002);
     assert!(
         decided.iter().all(|(_, verdict)| *verdict == OVERLOADED),
-        "those that would wait for too long are refused at once"
+        "those that would wait for too long are refused at once: {decided:?}"
     );
     assert!(decided.len() > 30, "{}", decided.len());
     let end = 2_001 + (AIM_MS as f32 * Options::default().admission.max_wait) as u64;
@@ -329,6 +331,49 @@
     assert_eq!(driver.vm.service_in_flight(service), 0);
 }
 
+// Found by the soak: an entry VM that had been paused read an opening of which a
+// copy had passed another one, and refused it; the caller's flow was open by then.
+#[test]
+fn what_lay_unread_during_a_pause_is_not_refused() {
+    let mut driver = Driver::new();
+    driver.load(0, 2_000, SLOW_MS);
+    let resumed = 2_000 + 700;
+    for _ in 0..30 {
+        let (_, verdict) = driver.offer(resumed, LOW_PORT, 0);
+        assert_ne!(verdict, OVERLOADED);
+    }
+    for at in (resumed..resumed + 1_000).step_by(10) {
+        for (_, verdict) in driver.decide(at) {
+            assert_ne!(verdict, OVERLOADED);
+        }
+    }
+}
+
+// Found by the soak: its targets answer within a millisecond, and its routes have no
+// objective; twice the usual time was taken for overload.
+#[test]
+fn fast_responses_are_no_sign_of_overload_without_an_objective() {
+    let mut driver = Driver::new();
+    let route = Route::new(vec![("classes".into(), 1)], RequestKind::Idempotent);
+    driver.vm.apply(
+        ms(0),
+        Change::Routes(RouteTable {
+            version: 2,
+            routes: [(address(LOW_PORT), route)].into_iter().collect(),
+            idle_timeout: Duration::from_secs(15),
+        }),
+    );
+    let before = driver.limit();
+    driver.load(0, 100, 1);
+    for round in 0..40 {
+        let at = 200 + round * 50;
+        let (key, verdict) = driver.offer(at, LOW_PORT, 0);
+        let placed = driver.placed(key, verdict);
+        driver.answer(at + 20, placed);
+    }
+    assert!(driver.limit() >= before, "{}", driver.limit());
+}
+
 // A target dies after the handshake and resets its callers directly.
 #[test]
 fn a_first_request_that_nothing_follows_no_longer_counts_against_the_limit() {
@@ -390,5 +435,4 @@
     }
     assert!(refused > 0);
     assert_eq!(driver.vm.flow_count(), before + placed);
-    assert_eq!(Fate::default(), Fate::Decide);
 }
--- a/crates/cicadaweir-soak/tests/seeds.rs
+++ b/crates/cicadaweir-soak/tests/seeds.rs
@@ -20,10 +20,10 @@
     program
 }
 
-fn assert_invariants_hold(seed: u64, net: u8) {
+fn assert_invariants_hold(seed: u64, faults: u32, net: u8) {
     let report = run(Options {
         seed,
-        faults: 8,
+        faults,
         program: daemon_program(),
         net,
         ..Options::default()
@@ -34,10 +34,18 @@
 
 #[test]
 fn invariants_hold_under_the_faults_of_seed_1() {
-    assert_invariants_hold(1, 41);
+    assert_invariants_hold(1, 8, 41);
 }
 
 #[test]
 fn invariants_hold_under_the_faults_of_seed_2() {
-    assert_invariants_hold(2, 42);
+    assert_invariants_hold(2, 8, 42);
+}
+
+// Regression: a daemon that had been paused read an opening of which a copy had passed
+// another one, and refused it while the flow was open there; four of twelve runs beside
+// busy processes showed it.
+#[test]
+fn invariants_hold_under_the_faults_of_seed_9006() {
+    assert_invariants_hold(9_006, 20, 43);
 }
