--- a/crates/cicadaweir-core/src/mirror/relay.rs
+++ b/crates/cicadaweir-core/src/mirror/relay.rs
@@ -110,7 +110,7 @@
     }
 
     /// Records a response of the store or of another entry VM. `sent_at` is when the
-    /// store sent the data; `is_stale` tells that the data may be older than that.
+    /// store sent the data; `is_stale` marks data that may be older than that.
     /// Stale data confirms nothing, and neither does compacted history.
     pub fn record(&mut self, response: &StoreResponse, sent_at: Instant, is_stale: bool) {
         self.log.record(response);
@@ -139,7 +139,7 @@
 
     /// Decides whether a request for changes is served here.
     ///
-    /// Without a recent view nobody is accepted or redirected: entry VMs that have
+    /// Without a recent view no entry VM is accepted or redirected: those that have
     /// lost their source would otherwise be redirected to one another.
     pub fn admit(&mut self, now: Instant, requester: Requester<'_>) -> Admittance {
         if self.recent_age(now).is_none() {
--- a/crates/cicadaweir-core/src/steer/admission.rs
+++ b/crates/cicadaweir-core/src/steer/admission.rs
@@ -27,7 +27,8 @@
 /// The goal without a latency objective, as a multiple of the baseline.
 const GOAL_PER_BASELINE: f32 = 2.0;
 
-/// The shortest goal in seconds: no caller notices that a response takes less.
+/// The shortest goal in seconds: shorter response times are no sign of a queue that
+/// matters to callers.
 const MIN_GOAL: f32 = 0.05;
 
 /// The assumed response time before the first response, in seconds.
--- a/crates/cicadaweir-core/src/steer/load.rs
+++ b/crates/cicadaweir-core/src/steer/load.rs
@@ -64,8 +64,8 @@
         self.first_in_flight = self.first_in_flight.saturating_sub(1);
     }
 
-    /// Counts a request that was answered or has expired; `is_first` tells whether it
-    /// was the first of its flow.
+    /// Counts a request that was answered or has expired; `is_first` is set
+    /// if it was the first of its flow.
     pub fn request_ended(&mut self, is_first: bool) {
         self.in_flight = self.in_flight.saturating_sub(1);
         self.first_in_flight = self.first_in_flight.saturating_sub(u32::from(is_first));
--- a/crates/cicadaweir-core/tests/mirror/restart.rs
+++ b/crates/cicadaweir-core/tests/mirror/restart.rs
@@ -1,4 +1,4 @@
-//! All entry VMs start at once while the store turns some of them away. Whoever
+//! All entry VMs start at once while the store turns some of them away. Each one that
 //! reaches the store has a change in time, whatever the others do. Real mirrors,
 //! relays and source selectors in virtual time, with redirects between them.
 
--- a/crates/cicadaweir-core/tests/steer/admission.rs
+++ b/crates/cicadaweir-core/tests/steer/admission.rs
@@ -185,8 +185,8 @@
     );
 }
 
-// An outage is over: the crowd of those that waited is served within a second, and
-// nobody has to be refused.
+// An outage is over: the crowd of those that waited is served within a second, without
+// any refusal.
 #[test]
 fn without_a_sign_of_overload_openings_beyond_the_limit_are_placed() {
     let mut driver = Driver::new();
--- a/crates/cicadaweir-lab/src/overload/outcome.rs
+++ b/crates/cicadaweir-lab/src/overload/outcome.rs
@@ -39,7 +39,7 @@
     pub target_refusals: u64,
     /// Refusals of flows of which a packet had reached a target. Must be 0.
     pub false_refusals: u64,
-    /// Milliseconds of work for requests that nobody waited for any more.
+    /// Milliseconds of work for requests whose callers had given up.
     pub wasted_ms: f64,
 }
 
--- a/crates/cicadaweir-lab/src/overload/world.rs
+++ b/crates/cicadaweir-lab/src/overload/world.rs
@@ -391,7 +391,7 @@
                 Packet::Opening(copy) => copy,
                 Packet::Request | Packet::Closing => 0,
             };
-            // The handle tells the attempt and the copy.
+            // The handle identifies the attempt and the copy.
             let handle = PacketRef(attempt as u32 * 4 + copy);
             self.entry_vms[vm].enqueue(now, &segment, handle);
         } else {
@@ -613,8 +613,8 @@
     }
 }
 
-/// The number of latest attempts among which those of a request that has timed out
-/// are searched for.
+/// The number of latest attempts that are searched for those of a request that has
+/// timed out.
 const ATTEMPTS_SEARCHED: usize = 40_000;
 
 fn zone_name(zone: usize) -> String {
--- a/crates/cicadaweird/src/steered/feed.rs
+++ b/crates/cicadaweird/src/steered/feed.rs
@@ -92,7 +92,7 @@
     }
 
     /// Records a response of the store or of another entry VM. `sent_at` is when the
-    /// store sent the data; `is_stale` tells that the data may be older than that.
+    /// store sent the data; `is_stale` marks data that may be older than that.
     pub fn record(&self, response: &StoreResponse, sent_at: Instant, is_stale: bool) {
         let mut state = self.lock();
         let before = state.relay.confirmed_at();
--- a/crates/cicadaweird/tests/steered/store.rs
+++ b/crates/cicadaweird/tests/steered/store.rs
@@ -101,7 +101,7 @@
 }
 
 // Another writer's odd entries, in bulk: the daemon goes on following the store,
-// its log stays bounded, and a counter tells how many there were.
+// its log stays bounded, and a counter shows how many there were.
 #[test]
 fn odd_entries_neither_stop_a_daemon_nor_flood_its_log() {
     let site = Site::start(PROGRAM, 18, 1);
