--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -29,6 +29,9 @@
     Duration::from_millis(600),
 ];
 
+/// The first port of a caller.
+const FIRST_PORT: u16 = 1_024;
+
 /// When a caller gives up an opening.
 const OPENING_TIMEOUT: Duration = Duration::from_millis(1_400);
 
@@ -83,7 +86,7 @@
             zone,
             site: Arc::clone(site),
             flows: Arc::default(),
-            next_port: AtomicU16::new(1_024),
+            next_port: AtomicU16::new(FIRST_PORT),
             next_request: AtomicU32::new(1),
         });
         let flows = Arc::clone(&client.flows);
@@ -104,11 +107,9 @@
         client
     }
 
-    /// Starts the caller anew, as after an update: it knows none of its flows, and
-    /// begins with its first port again.
-    pub fn restart(&self) {
-        self.flows.lock().unwrap().clear();
-        self.next_port.store(1_024, Ordering::SeqCst);
+    /// Begins with the first port again, when all flows of before are closed.
+    pub fn reuse_ports(&self) {
+        self.next_port.store(FIRST_PORT, Ordering::SeqCst);
     }
 
     /// Returns the name of a new request.
@@ -298,29 +299,45 @@
         })
     }
 
-    /// Closes the flow.
-    pub fn close(self) {
-        let mut packet = self.client.packet(
-            self.port,
-            self.to,
-            FIN | ACK,
-            self.sequence,
-            self.expected,
-            self.echo,
-        );
-        for _ in 0..3 {
+    /// Closes the flow; returns whether both ends have closed it.
+    pub fn close(mut self) -> bool {
+        let mut is_closed = false;
+        for _ in 0..4 {
+            let packet = self.packet(FIN | ACK);
             self.client.send(&packet);
-            match self.rx.recv_timeout(Duration::from_millis(200)) {
-                Ok((answer, _))
-                    if answer.flags & RST != 0 || answer.ack == self.sequence.wrapping_add(1) =>
-                {
+            let until = Instant::now() + Duration::from_millis(200);
+            while let Ok((answer, _)) = self
+                .rx
+                .recv_timeout(until.saturating_duration_since(Instant::now()))
+            {
+                if answer.flags & (RST | SYN) != 0 {
+                    continue;
+                }
+                self.take(&answer);
+                is_closed |= answer.flags & FIN != 0;
+                if is_closed && answer.ack == self.sequence.wrapping_add(1) {
                     break;
                 }
-                Ok((answer, _)) => packet.ack = answer.seq.wrapping_add(answer.data.len() as u32),
-                Err(_) => {}
+            }
+            if is_closed {
+                self.sequence = self.sequence.wrapping_add(1);
+                self.acknowledge();
+                break;
             }
         }
         self.client.flows.lock().unwrap().remove(&self.port);
+        is_closed
+    }
+
+    fn packet(&self, flags: u8) -> Packet {
+        self.client.packet(
+            self.port,
+            self.to,
+            flags,
+            self.sequence,
+            self.expected,
+            self.echo,
+        )
     }
 
     /// Forgets the flow without a packet, as a caller that has ended.
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -11,6 +11,7 @@
 mod packet;
 mod reconnect;
 mod record;
+mod silent;
 mod site;
 mod store;
 mod target;
@@ -50,6 +51,7 @@
         .then_some(folder.as_str());
     match case.as_str() {
         "new-route" => new_route::run(&record, has_trouble, keep),
+        "silent" => silent::run(&record, has_trouble, keep),
         "config-memory" => config_memory::run(&record, has_trouble, keep),
         "reconnect-drain" => reconnect::run_drain(&record, has_trouble, keep),
         "reconnect-restart" => reconnect::run_restart(&record, has_trouble, keep),
--- a/review/standins/new_route.rs
+++ b/review/standins/new_route.rs
@@ -56,7 +56,7 @@
                 zone_name(zone.into()),
                 "classes",
                 work,
-                |_, _| {},
+                |_, _, _| {},
             ));
         }
     }
--- a/review/standins/site.rs
+++ b/review/standins/site.rs
@@ -75,7 +75,6 @@
     pub packet_port: u16,
     pub target_port: u16,
     pub store: Store,
-    store_addr: SocketAddr,
     record: Record,
     folder: PathBuf,
     socket: UdpSocket,
@@ -102,13 +101,16 @@
         let (net, port) = free_network();
         let folder = std::env::temp_dir().join(format!("cicadaweir-review-{}", std::process::id()));
         fs::create_dir_all(&folder).unwrap_or_else(|err| crate::cannot_run(&err.to_string()));
-        let store_addr = SocketAddr::from((Ipv4Addr::new(127, net, 250, 7), port + 4));
+        let store = Store::default();
+        for zone in 0..3u8 {
+            let ip = Ipv4Addr::new(127, net, 250, 10 + zone);
+            store.listen(SocketAddr::from((ip, port + 4)), zone.into());
+        }
         Arc::new(Self {
             net,
             packet_port: port,
             target_port: port + 5,
-            store: Store::start(store_addr),
-            store_addr,
+            store,
             record: record.clone(),
             folder,
             socket: UdpSocket::bind((Ipv4Addr::new(127, net, 250, 8), 0)).unwrap(),
@@ -162,7 +164,7 @@
             self.packet_port + 1,
             self.packet_port + 3,
             self.packet_port + 2,
-            self.store_addr,
+            SocketAddr::from((self.ip(250, 10 + zone as u8), self.packet_port + 4)),
         );
         fs::write(&settings, text).unwrap_or_else(|err| crate::cannot_run(&err.to_string()));
         let log = self.folder.join(format!("{name}.log"));
@@ -242,6 +244,17 @@
         chosen.get(at).map(|daemon| Arc::clone(daemon))
     }
 
+    /// Waits until a daemon is in rotation, or out of it.
+    pub fn wait_rotation(&self, daemon: &Daemon, is_in: bool) {
+        let end = Instant::now() + Duration::from_secs(10);
+        while daemon.in_rotation.load(Ordering::SeqCst) != is_in {
+            if Instant::now() > end {
+                crate::cannot_run(&format!("the rotation of {} did not change", daemon.name));
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
     /// Returns the daemon at an address.
     pub fn daemon_at(&self, ip: Ipv4Addr) -> Option<Arc<Daemon>> {
         let daemons = self.daemons.lock().unwrap();
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -4,7 +4,10 @@
     collections::BTreeMap,
     io::{BufRead, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -12,9 +15,16 @@
 /// The time of an answer.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
 
+/// The addresses on which the store listens.
+const LISTENERS: usize = 3;
+
 /// The most items of a page.
 const PAGE_ITEMS: usize = 500;
 
+/// The bytes that a connection carries in one round trip, and the time of one.
+const WINDOW_BYTES: usize = 16 << 10;
+const ROUND_TRIP: Duration = Duration::from_millis(1);
+
 #[derive(Default)]
 struct State {
     revision: u64,
@@ -27,24 +37,63 @@
 #[derive(Clone, Default)]
 pub struct Store {
     state: Arc<(Mutex<State>, Condvar)>,
+    /// By listener: how often its connections have gone silent.
+    silences: Arc<[AtomicU32; LISTENERS]>,
+    /// Whether connections have small windows.
+    has_windows: Arc<AtomicBool>,
 }
 
 impl Store {
-    /// Starts to serve on an address.
-    pub fn start(addr: SocketAddr) -> Self {
-        let store = Self::default();
-        let listener = TcpListener::bind(addr)
+    /// Starts to serve on an address, one for each zone.
+    pub fn listen(&self, addr: SocketAddr, listener: usize) {
+        let socket = TcpListener::bind(addr)
             .unwrap_or_else(|err| crate::cannot_run(&format!("store at {addr}: {err}")));
-        let shared = store.clone();
+        let shared = self.clone();
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            for stream in socket.incoming().flatten() {
                 let store = shared.clone();
                 thread::spawn(move || {
-                    let _ = store.serve(stream);
+                    let _ = store.serve(stream, listener);
                 });
             }
         });
-        store
+    }
+
+    /// Gives all connections small windows.
+    pub fn use_windows(&self) {
+        self.has_windows.store(true, Ordering::SeqCst);
+    }
+
+    /// The open connections of a listener carry nothing more from now on, and are not
+    /// closed; new ones work.
+    pub fn silence(&self, listener: usize) {
+        self.silences[listener].fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Sends bytes on a connection that was opened after `silences` of its listener.
+    fn send(
+        &self,
+        out: &mut TcpStream,
+        bytes: &[u8],
+        listener: usize,
+        silences: u32,
+    ) -> std::io::Result<()> {
+        let has_windows = self.has_windows.load(Ordering::SeqCst);
+        let window = if has_windows {
+            WINDOW_BYTES
+        } else {
+            bytes.len().max(1)
+        };
+        for part in bytes.chunks(window) {
+            while self.silences[listener].load(Ordering::SeqCst) != silences {
+                thread::sleep(Duration::from_secs(1));
+            }
+            out.write_all(part)?;
+            if has_windows {
+                thread::sleep(ROUND_TRIP);
+            }
+        }
+        Ok(())
     }
 
     /// Writes a key; the answer is the confirmation.
@@ -61,7 +110,8 @@
         self.state.1.notify_all();
     }
 
-    fn serve(&self, stream: TcpStream) -> std::io::Result<()> {
+    fn serve(&self, stream: TcpStream, listener: usize) -> std::io::Result<()> {
+        let silences = self.silences[listener].load(Ordering::SeqCst);
         stream.set_nodelay(true)?;
         let mut out = stream.try_clone()?;
         let mut input = BufReader::new(stream);
@@ -94,7 +144,8 @@
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 body.len()
             );
-            out.write_all([head.as_bytes(), body.as_bytes()].concat().as_slice())?;
+            let bytes = [head.as_bytes(), body.as_bytes()].concat();
+            self.send(&mut out, &bytes, listener, silences)?;
         }
     }
 
--- a/review/standins/target.rs
+++ b/review/standins/target.rs
@@ -67,8 +67,8 @@
     work: Duration,
     pub is_draining: AtomicBool,
     pub drain_acked: Mutex<Option<Instant>>,
-    /// Takes the openings that reach it: the key, and when the target was asked to leave.
-    pub on_opening: Box<dyn Fn(&Target, Key) + Send + Sync>,
+    /// Takes the openings that reach it, with the daemon that sent them on.
+    pub on_opening: Box<dyn Fn(&Target, Key, Ipv4Addr) + Send + Sync>,
     born: u128,
     state: Mutex<State>,
     changed: Condvar,
@@ -84,7 +84,7 @@
         zone: &str,
         service: &str,
         work: Duration,
-        on_opening: impl Fn(&Target, Key) + Send + Sync + 'static,
+        on_opening: impl Fn(&Target, Key, Ipv4Addr) + Send + Sync + 'static,
     ) -> Arc<Self> {
         let address = SocketAddr::from((ip, site.target_port));
         let socket = UdpSocket::bind(address)
@@ -156,7 +156,7 @@
     fn receive(&self) {
         let mut buf = [0; 2_048];
         loop {
-            let Ok(len) = self.socket.recv(&mut buf) else {
+            let Ok((len, SocketAddr::V4(from))) = self.socket.recv_from(&mut buf) else {
                 continue;
             };
             if len < 8 {
@@ -174,11 +174,11 @@
                     .broken(&format!("UNASKED: {} got a forged packet", self.name()));
                 continue;
             }
-            self.handle(packet);
+            self.handle(packet, *from.ip());
         }
     }
 
-    fn handle(&self, packet: Packet) {
+    fn handle(&self, packet: Packet, from: Ipv4Addr) {
         let key = (packet.src, packet.sport, packet.dst, packet.dport);
         let mut guard = self.state.lock().unwrap();
         let state = &mut *guard;
@@ -189,7 +189,7 @@
                 .get(&key)
                 .is_some_and(|flow| flow.expected == packet.seq.wrapping_add(1));
             if !is_known {
-                (self.on_opening)(self, key);
+                (self.on_opening)(self, key, from);
                 let sequence = random(packet.seq ^ self.id as u32);
                 state.flows.insert(
                     key,
@@ -262,7 +262,9 @@
             if end == flow.expected {
                 flow.expected = flow.expected.wrapping_add(1);
             }
-            flow.has_ended = true;
+            if !flow.has_ended {
+                self.answer(flow, key, Vec::new(), true);
+            }
             has_news = true;
         }
         if has_news {
