--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -299,6 +299,32 @@
         })
     }
 
+    /// Keeps the flow open without a request for `span`. Any packet of the flow brings
+    /// the `echo` that the caller's next packet carries.
+    pub fn pause(&mut self, span: Duration) -> Option<End> {
+        let end = Instant::now() + span;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            let Ok((packet, from)) = self.rx.recv_timeout(left) else {
+                return None;
+            };
+            if let Some(reset) = self.reset(&packet, from) {
+                return Some(reset);
+            }
+            if packet.flags & RST == 0 {
+                self.echo = packet.echo;
+            }
+            if packet.flags & (SYN | RST) == 0 && self.take(&packet) {
+                self.acknowledge();
+            }
+        }
+    }
+
+    /// Returns the cookie that the next packet carries.
+    pub fn echo(&self) -> u32 {
+        self.echo
+    }
+
     /// Closes the flow; returns whether both ends have closed it.
     pub fn close(mut self) -> bool {
         let mut is_closed = false;
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,8 +7,11 @@
 mod client;
 mod config_memory;
 mod http;
+mod late_answer;
 mod new_route;
 mod packet;
+mod power_loss;
+mod proxy;
 mod reconnect;
 mod record;
 mod silent;
@@ -51,6 +54,8 @@
         .then_some(folder.as_str());
     match case.as_str() {
         "new-route" => new_route::run(&record, has_trouble, keep),
+        "late-answer" => late_answer::run(&record, has_trouble, keep),
+        "power-loss" => power_loss::run(&record, has_trouble, keep),
         "silent" => silent::run(&record, has_trouble, keep),
         "config-memory" => config_memory::run(&record, has_trouble, keep),
         "reconnect-drain" => reconnect::run_drain(&record, has_trouble, keep),
--- a/review/standins/site.rs
+++ b/review/standins/site.rs
@@ -28,6 +28,8 @@
 
 const SIGKILL: i32 = 9;
 const SIGTERM: i32 = 15;
+const SIGCONT: i32 = 18;
+const SIGSTOP: i32 = 19;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -299,6 +301,17 @@
         unsafe { kill(pid as i32, signal) };
     }
 
+    pub fn freeze(&self) {
+        self.is_stopped.store(true, Ordering::SeqCst);
+        self.signal(SIGSTOP);
+    }
+
+    pub fn wake(&self) {
+        self.signal(SIGCONT);
+        *self.disturbed.lock().unwrap() = Instant::now();
+        self.is_stopped.store(false, Ordering::SeqCst);
+    }
+
     /// Kills the process without starting it again.
     pub fn kill(&self) {
         self.is_stopped.store(true, Ordering::SeqCst);
