--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
 [ -x target/review/standins ] && [ -x target/release/cicadaweird ] || exit 2
-exec target/review/standins reconnect-drain "$folder"
+exec target/review/standins late-answer "$folder"
