fix: packets of a new flow follow their cookie when its ports are used again

Callers saw: open flows were reset, with a request in flight, by a target that was not theirs (FLOW), after they had closed flows and used the same ports again.

Cause: an open flow is remembered for 60 s, and its target won over the cookie of any packet between the same addresses and ports. An entry VM that had not seen the first flow close sent the packets of the second one to the first one's target.

Ruled out: following the cookie always (cookie_copies.pml, NO_HOLD); a shorter memory (flows pause for up to 15 s).

Change: FlowState::includes is the one place that decides whether a packet belongs to a remembered flow, by the sequence numbers of both ends; a packet of another flow follows its cookie, and replaces a remembered flow that has been idle for 2 s.

--- a/crates/cicadaweir-core/src/steer/flows.rs
+++ b/crates/cicadaweir-core/src/steer/flows.rs
@@ -11,10 +11,14 @@
 
 use super::{Options, RequestKind, Segment};
 
-/// The largest distance from an opening's sequence number to that of a packet of
-/// its flow before the flow is known to be open: a caller has at most 16 packets
-/// of 1,200 bytes in flight then.
-const MAX_SEQUENCE_DISTANCE: u32 = 16 * 1_200;
+/// The bytes that one end of a flow has in flight at most: 16 packets of 1,200 bytes.
+const MAX_BYTES_IN_FLIGHT: u32 = 16 * 1_200;
+
+/// The largest distance from the last sequence number that was seen of one end of an
+/// open flow to a later one of the same flow, in bytes. The packets in between may have
+/// passed through other entry VMs. Two flows with random initial sequence numbers are
+/// that close at both ends once in four million times.
+const MAX_UNSEEN_BYTES: u32 = 1 << 20;
 
 /// The phase of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -132,11 +136,24 @@
         }
     }
 
-    /// Returns whether a packet may belong to this flow. One with a sequence number
-    /// far from the opening's belongs to an earlier flow of the same ports.
-    pub fn may_include(&self, segment: &Segment) -> bool {
-        self.opening_sequence
-            .is_none_or(|opening| segment.sequence.wrapping_sub(opening) <= MAX_SEQUENCE_DISTANCE)
+    /// Returns whether a packet belongs to this flow, rather than to an earlier or a later
+    /// one between the same addresses and ports.
+    ///
+    /// An opening belongs to the flow if it is a copy of the flow's own opening. Any other
+    /// packet does if the sequence numbers of both ends continue those of the flow. The
+    /// target's is unknown before the flow is open, and a reset doesn't need to state it.
+    pub fn includes(&self, segment: &Segment) -> bool {
+        match (segment.kind, self.phase, self.opening_sequence) {
+            (PacketKind::Opening, _, Some(opening)) => segment.sequence == opening,
+            (PacketKind::Opening, _, None) => {
+                self.sequence.wrapping_sub(segment.sequence) <= MAX_UNSEEN_BYTES
+            }
+            (_, FlowPhase::Opening, opening) => opening.is_none_or(|opening| {
+                segment.sequence.wrapping_sub(opening) <= MAX_BYTES_IN_FLIGHT
+            }),
+            (PacketKind::Reset, ..) => continues(self.sequence, segment.sequence),
+            _ => continues(self.sequence, segment.sequence) && continues(self.ack, segment.ack),
+        }
     }
 
     /// Updates the state with a packet that isn't an opening.
@@ -200,8 +217,20 @@
     }
 }
 
+/// Returns whether a sequence number may follow, or have been overtaken by, the last one
+/// that was seen of the same end of a flow.
+const fn continues(last: u32, sequence: u32) -> bool {
+    sequence.wrapping_sub(last.wrapping_sub(MAX_BYTES_IN_FLIGHT))
+        <= MAX_BYTES_IN_FLIGHT + MAX_UNSEEN_BYTES
+}
+
 impl Flows {
     /// Returns the state of a flow.
+    pub fn get(&self, flow: &FlowKey) -> Option<&FlowState> {
+        self.flows.get(flow)
+    }
+
+    /// Returns the state of a flow for an update.
     pub fn get_mut(&mut self, flow: &FlowKey) -> Option<&mut FlowState> {
         self.flows.get_mut(flow)
     }
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -16,8 +16,8 @@
 
 use super::{
     Applied, Change, ConcurrencyLimit, Counters, Directory, DropReason, Expired, Fate, FlowPhase,
-    FlowState, Flows, Observation, Options, PendingPacket, PendingPackets, Progress, ResetReason,
-    ResponseTimes, Segment, Suspicion, TargetLoad, Trust, Verdict, WaitReason,
+    FlowState, Flows, Observation, Options, PendingPacket, PendingPackets, Progress, RequestKind,
+    ResetReason, ResponseTimes, Segment, Suspicion, TargetLoad, Trust, Verdict, WaitReason,
 };
 
 /// The state of one entry VM whose packets name their target, and the decisions
@@ -396,28 +396,45 @@
         self.is_ready() && age.is_some_and(|age| age <= self.options.max_view_age)
     }
 
+    /// Decides on a packet that isn't an opening.
+    ///
+    /// A packet of the remembered flow goes to that flow's target, whatever its cookie
+    /// says: a second target may have answered a copy of the opening. A packet of another
+    /// flow between the same addresses and ports goes to the target that its cookie names.
     fn decide_later_packet(&mut self, now: Instant, segment: &Segment) -> Verdict {
-        let Some(flow) = self.flows.get_mut(&segment.flow) else {
+        let Some(flow) = self.flows.get(&segment.flow).copied() else {
             return self.adopt(now, segment);
         };
-        if flow.phase == FlowPhase::Opening && !flow.may_include(segment) {
-            return self.decide_earlier_flow(segment);
+        if flow.includes(segment) {
+            return self.continue_flow(now, segment, flow);
         }
-        if flow.phase == FlowPhase::Opening && segment.cookie.is_some() {
-            let Some(named) = self.directory.by_cookie(segment.cookie) else {
-                return Verdict::Drop(DropReason::TargetUnknown);
-            };
-            if named != flow.target {
-                reassign_flow(&mut self.loads, flow, named, now);
+        // A late packet of an earlier flow arrives while the remembered one is in use.
+        if now.since(flow.last_packet) <= self.options.closed_ttl {
+            return self.decide_other_flow(now, segment);
+        }
+        self.forget_flow(segment, &flow);
+        self.adopt(now, segment)
+    }
+
+    /// Decides on a packet of a remembered flow.
+    fn continue_flow(&mut self, now: Instant, segment: &Segment, mut flow: FlowState) -> Verdict {
+        if flow.phase == FlowPhase::Opening
+            && segment.cookie.is_some()
+            && self.directory.by_cookie(segment.cookie) != Some(flow.target)
+        {
+            match self.named_target(now, segment) {
+                Ok((named, _)) => reassign_flow(&mut self.loads, &mut flow, named, now),
+                Err(verdict) => return verdict,
             }
         }
         let progress = flow.observe(segment, now);
-        let flow = *flow;
+        if let Some(known) = self.flows.get_mut(&segment.flow) {
+            *known = flow;
+        }
         self.apply_progress(now, segment, &flow, progress);
         match self.reset_reason(now, &flow, &progress) {
             Some(reason) => {
-                self.flows.remove(&segment.flow);
-                release_load(&mut self.loads[flow.target.0 as usize], &flow);
+                self.forget_flow(segment, &flow);
                 Verdict::Reset(reason)
             }
             None => {
@@ -436,41 +453,49 @@
         }
     }
 
-    /// Decides on a late packet of an earlier flow with the same ports: it follows
-    /// its own cookie and changes nothing here.
-    fn decide_earlier_flow(&self, segment: &Segment) -> Verdict {
-        let target = self.directory.by_cookie(segment.cookie);
-        let entry = target.and_then(|key| Some((key, self.directory.target(key)?)));
-        let Some((target, entry)) = entry else {
-            return Verdict::Drop(DropReason::TargetUnknown);
-        };
-        let allowed = self
-            .directory
-            .service_allowed(&segment.flow.address, entry.service);
-        match allowed {
-            Some((true, _)) => Verdict::Forward {
+    fn forget_flow(&mut self, segment: &Segment, flow: &FlowState) {
+        self.flows.remove(&segment.flow);
+        release_load(&mut self.loads[flow.target.0 as usize], flow);
+    }
+
+    /// Decides on a packet of another flow than the remembered one, which isn't affected.
+    fn decide_other_flow(&self, now: Instant, segment: &Segment) -> Verdict {
+        match self.named_target(now, segment) {
+            Ok((target, _)) => Verdict::Forward {
                 target,
                 adopted: false,
             },
-            Some((false, _)) => Verdict::Drop(DropReason::OtherService),
-            None => Verdict::Drop(DropReason::RouteUnknown),
+            Err(Verdict::Reset(_)) => Verdict::Drop(DropReason::RouteUnknown),
+            Err(verdict) => verdict,
         }
     }
 
-    fn adopt(&mut self, now: Instant, segment: &Segment) -> Verdict {
-        let Some(target) = self.directory.by_cookie(segment.cookie) else {
-            return Verdict::Drop(DropReason::TargetUnknown);
-        };
-        let Some(entry) = self.directory.target(target) else {
-            return Verdict::Drop(DropReason::TargetUnknown);
+    /// Returns the target that a packet's cookie names, and the kind of its requests; or
+    /// the verdict on a packet whose cookie names no target of its route.
+    fn named_target(
+        &self,
+        now: Instant,
+        segment: &Segment,
+    ) -> Result<(TargetKey, RequestKind), Verdict> {
+        let target = self.directory.by_cookie(segment.cookie);
+        let entry = target.and_then(|key| Some((key, self.directory.target(key)?)));
+        let Some((target, entry)) = entry else {
+            return Err(Verdict::Drop(DropReason::TargetUnknown));
         };
-        let kind = match self
+        match self
             .directory
             .service_allowed(&segment.flow.address, entry.service)
         {
-            Some((true, kind)) => kind,
-            Some((false, _)) => return Verdict::Drop(DropReason::OtherService),
-            None => return self.missing_route_verdict(now),
+            Some((true, kind)) => Ok((target, kind)),
+            Some((false, _)) => Err(Verdict::Drop(DropReason::OtherService)),
+            None => Err(self.missing_route_verdict(now)),
+        }
+    }
+
+    fn adopt(&mut self, now: Instant, segment: &Segment) -> Verdict {
+        let (target, kind) = match self.named_target(now, segment) {
+            Ok(named) => named,
+            Err(verdict) => return verdict,
         };
         let mut flow = FlowState::adopted(target, kind, segment, now);
         let progress = flow.observe(segment, now);
--- a/crates/cicadaweir-core/tests/steer/reuse.rs
+++ b/crates/cicadaweir-core/tests/steer/reuse.rs
@@ -1,8 +1,9 @@
 //! Names, keys and ports that are in use again.
 
 use cicadaweir_core::{
+    flow::FlowKey,
     prelude::*,
-    steer::{Applied, Change, DropReason, Options, Verdict},
+    steer::{Applied, Change, DropReason, Options, Segment, Verdict},
 };
 
 use crate::support::{
@@ -122,3 +123,58 @@
     let verdict = vm.packet(ms(120), &request);
     assert_eq!(target_number(&vm, verdict), new);
 }
+
+/// Returns a packet of a flow with other initial sequence numbers at both ends than those
+/// of `crate::support`.
+fn packet_of_other_flow(flow: FlowKey, n: u64, request: u32) -> Segment {
+    data(flow, cookie(n), 3_000_000_001 + request, 2_000_000_000)
+}
+
+// Guards against resets of open flows by the target of an earlier flow: the caller closed
+// that one through another entry VM and uses its port again (docs/incidents/reused-ports.md).
+#[test]
+fn packets_of_a_new_flow_do_not_go_to_the_target_of_an_earlier_one() {
+    for is_adopted in [false, true] {
+        let mut vm = entry_vm(3);
+        let reused = flow(7, AT_MOST_ONCE_PORT);
+        let old = if is_adopted {
+            vm.packet(ms(0), &data(reused, cookie(1), 101, 1_000));
+            1
+        } else {
+            open_flow(&mut vm, ms(0), reused)
+        };
+        let new = old % 3 + 1;
+        for (request, at) in [17_000, 17_200, 17_400].into_iter().enumerate() {
+            let packet = packet_of_other_flow(reused, new, request as u32);
+            let verdict = vm.packet(ms(at), &packet);
+            assert_eq!(target_number(&vm, verdict), new, "adopted: {is_adopted}");
+        }
+        let [old, new] = [old, new].map(|n| vm.target_load(key(&vm, n)).open);
+        assert_eq!((old, new), (0, 1), "the new flow alone counts");
+    }
+}
+
+// Guards against the loss of a flow's state to a packet of an earlier flow that was
+// delayed in the network: the later cookie of another target would move the flow.
+#[test]
+fn a_late_packet_of_an_earlier_flow_does_not_replace_an_open_one() {
+    let mut vm = entry_vm(3);
+    let reused = flow(7, AT_MOST_ONCE_PORT);
+    let held = open_flow(&mut vm, ms(0), reused);
+    let other = held % 3 + 1;
+    let verdict = vm.packet(ms(1_000), &packet_of_other_flow(reused, other, 0));
+    assert_eq!(target_number(&vm, verdict), other);
+    let verdict = vm.packet(ms(1_010), &data(reused, cookie(other), 101, 1_000));
+    assert_eq!(target_number(&vm, verdict), held);
+}
+
+// A flow keeps its target after much of it has passed through other entry VMs.
+#[test]
+fn a_flow_that_returns_after_a_download_keeps_its_target() {
+    let mut vm = entry_vm(3);
+    let key = flow(7, IDEMPOTENT_PORT);
+    let held = open_flow(&mut vm, ms(0), key);
+    let other = held % 3 + 1;
+    let verdict = vm.packet(ms(9_000), &data(key, cookie(other), 40_101, 901_000));
+    assert_eq!(target_number(&vm, verdict), held);
+}
