fix: an open flow is reset for its route only if the route was seen dropped

Callers saw: open flows on routes that had just been added were reset with a booking in flight, by entry VMs that nothing had disturbed (FLOW).

Cause: a route that is missing in a view of at most 4 s of age counted as dropped.

Ruled out: a shorter age (the caller uses the route at once); forwarding by the cookie (no_packet_reaches_another_service forbids it for addresses without a route).

Change: Directory::route_status distinguishes dropped from unknown routes; packets of the latter are dropped and sent again by their caller. Dropped routes are remembered for flowTtlS.

--- a/crates/cicadaweir-core/src/steer.rs
+++ b/crates/cicadaweir-core/src/steer.rs
@@ -43,7 +43,7 @@
 pub use affinity::ZoneAffinity;
 pub use cookie::{Cookie, Identity};
 pub use counters::Counters;
-pub use directory::{Applied, Change, Directory, Presence, RouteMatch, TargetEntry};
+pub use directory::{Applied, Change, Directory, Presence, RouteMatch, RouteStatus, TargetEntry};
 pub use flows::{Expired, FlowPhase, FlowState, Flows, Progress};
 pub use load::TargetLoad;
 pub use observation::Observation;
--- a/crates/cicadaweir-core/src/steer/directory.rs
+++ b/crates/cicadaweir-core/src/steer/directory.rs
@@ -11,6 +11,9 @@
 
 use super::{Cookie, Identity, RequestKind, Route, RouteTable, TargetSpec, TargetState};
 
+/// The number of dropped routes that are remembered. The flows of further ones continue.
+const MAX_DROPPED_ROUTES: usize = 16_384;
+
 /// A change of routes or targets in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
@@ -97,12 +100,27 @@
     pub priority: u8,
 }
 
+/// What this entry VM knows of an address for which a service is wanted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteStatus {
+    /// Its route leads to the service, among others.
+    Allowed(RequestKind),
+    /// Its route leads to other services alone.
+    OtherService,
+    /// Its route was in an earlier version of the configuration, and isn't in this one.
+    Dropped,
+    /// No version that this entry VM has seen has a route for it. A newer one may have.
+    Unknown,
+}
+
 /// The routes and targets that this entry VM knows.
 #[derive(Debug, Default)]
 pub struct Directory {
     version: Option<u64>,
     idle_timeout: Duration,
     routes: IndexMap<Endpoint, ResolvedRoute>,
+    /// The addresses whose routes were dropped, with the time of that; oldest first.
+    dropped_routes: IndexMap<Endpoint, Instant>,
     services: IndexSet<Box<str>>,
     zones: IndexSet<Box<str>>,
     targets: Vec<Option<TargetEntry>>,
@@ -137,7 +155,7 @@
     /// Applies a change.
     pub fn apply(&mut self, now: Instant, change: Change) -> Applied {
         match change {
-            Change::Routes(table) => self.set_routes(table),
+            Change::Routes(table) => self.set_routes(now, table),
             Change::Target(spec) => self.set_target(now, spec),
             Change::TargetRemoved { name } => self.mark_departed(now, &name),
         }
@@ -224,16 +242,16 @@
         routes.map(|(address, route)| (address, &*route.services, route.kind))
     }
 
-    /// Returns whether a service is one of an address's route, and the kind of
-    /// the route's requests; none without a route.
-    pub fn service_allowed(
-        &self,
-        address: &Endpoint,
-        service: ServiceKey,
-    ) -> Option<(bool, RequestKind)> {
-        let route = self.routes.get(address)?;
-        let allowed = route.services.iter().any(|s| s.0 == service);
-        Some((allowed, route.kind))
+    /// Returns whether the route of an address leads to a service.
+    pub fn route_status(&self, address: &Endpoint, service: ServiceKey) -> RouteStatus {
+        match self.routes.get(address) {
+            Some(route) if route.services.iter().any(|s| s.0 == service) => {
+                RouteStatus::Allowed(route.kind)
+            }
+            Some(_) => RouteStatus::OtherService,
+            None if self.dropped_routes.contains_key(address) => RouteStatus::Dropped,
+            None => RouteStatus::Unknown,
+        }
     }
 
     /// Returns a target.
@@ -295,6 +313,14 @@
         }
     }
 
+    /// Forgets routes that were dropped longer than `ttl` ago.
+    pub fn evict_dropped_routes(&mut self, now: Instant, ttl: Duration) {
+        let is_expired = |at: &Instant| now.since(*at) > ttl;
+        let expired = self.dropped_routes.values().take_while(|at| is_expired(at));
+        let expired = expired.count();
+        self.dropped_routes.drain(..expired);
+    }
+
     fn service(&mut self, name: &str) -> ServiceKey {
         let (at, _) = self.services.insert_full(name.into());
         if self.targets_by_service.len() <= at {
@@ -303,17 +329,25 @@
         ServiceKey(at as u32)
     }
 
-    fn set_routes(&mut self, table: RouteTable) -> Applied {
+    fn set_routes(&mut self, now: Instant, table: RouteTable) -> Applied {
         if self.version.is_some_and(|version| table.version <= version) {
             return Applied::StaleRoutes;
         }
         self.version = Some(table.version);
         self.idle_timeout = table.idle_timeout;
-        self.routes = table
-            .routes
-            .into_iter()
-            .map(|(address, route)| (address, self.resolve(route)))
-            .collect();
+        let routes = table.routes.into_iter();
+        let routes = routes.map(|(address, route)| (address, self.resolve(route)));
+        let routes: IndexMap<_, _> = routes.collect();
+        self.dropped_routes
+            .retain(|address, _| !routes.contains_key(address));
+        for address in std::mem::take(&mut self.routes).into_keys() {
+            if !routes.contains_key(&address) {
+                self.dropped_routes.insert(address, now);
+            }
+        }
+        let excess = self.dropped_routes.len().saturating_sub(MAX_DROPPED_ROUTES);
+        self.dropped_routes.drain(..excess);
+        self.routes = routes;
         Applied::Routes
     }
 
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -17,7 +17,8 @@
 use super::{
     Applied, Change, ConcurrencyLimit, Counters, Directory, DropReason, Expired, Fate, FlowPhase,
     FlowState, Flows, Observation, Options, PendingPacket, PendingPackets, Progress, RequestKind,
-    ResetReason, ResponseTimes, Segment, Suspicion, TargetLoad, Trust, Verdict, WaitReason,
+    ResetReason, ResponseTimes, RouteStatus, Segment, Suspicion, TargetLoad, Trust, Verdict,
+    WaitReason,
 };
 
 /// The state of one entry VM whose packets name their target, and the decisions
@@ -297,6 +298,7 @@
         for key in evicted {
             self.forget_target(key);
         }
+        self.directory.evict_dropped_routes(now, options.flow_ttl);
         self.observe_refusals(now);
     }
 
@@ -472,6 +474,10 @@
 
     /// Returns the target that a packet's cookie names, and the kind of its requests; or
     /// the verdict on a packet whose cookie names no target of its route.
+    ///
+    /// A flow is reset only if this entry VM has seen that its route was dropped. A route
+    /// that it has never seen may be newer than its view of the store, however recent: the
+    /// caller sends the packet again.
     fn named_target(
         &self,
         now: Instant,
@@ -482,13 +488,12 @@
         let Some((target, entry)) = entry else {
             return Err(Verdict::Drop(DropReason::TargetUnknown));
         };
-        match self
-            .directory
-            .service_allowed(&segment.flow.address, entry.service)
-        {
-            Some((true, kind)) => Ok((target, kind)),
-            Some((false, _)) => Err(Verdict::Drop(DropReason::OtherService)),
-            None => Err(self.missing_route_verdict(now)),
+        let address = &segment.flow.address;
+        match self.directory.route_status(address, entry.service) {
+            RouteStatus::Allowed(kind) => Ok((target, kind)),
+            RouteStatus::OtherService => Err(Verdict::Drop(DropReason::OtherService)),
+            RouteStatus::Dropped => Err(self.missing_route_verdict(now)),
+            RouteStatus::Unknown => Err(Verdict::Drop(DropReason::RouteUnknown)),
         }
     }
 
--- a/crates/cicadaweir-core/tests/steer/flows.rs
+++ b/crates/cicadaweir-core/tests/steer/flows.rs
@@ -3,12 +3,15 @@
 use cicadaweir_core::{
     packet::PacketKind,
     prelude::*,
-    steer::{Change, Cookie, DropReason, Observation, Options, ResetReason, Segment, Verdict},
+    steer::{
+        Change, Cookie, DropReason, Observation, Options, RequestKind, ResetReason, RouteStatus,
+        Segment, Steering, Verdict,
+    },
 };
 
 use crate::support::{
-    AT_MOST_ONCE_PORT, DOWNLOAD_PORT, IDEMPOTENT_PORT, acknowledgement, cookie, data, entry_vm,
-    flow, ms, open_flow, opening, routes, target, target_number, unlimited_capacity,
+    AT_MOST_ONCE_PORT, DOWNLOAD_PORT, IDEMPOTENT_PORT, acknowledgement, address, cookie, data,
+    entry_vm, flow, ms, open_flow, opening, routes, target, target_number, unlimited_capacity,
 };
 
 #[test]
@@ -145,6 +148,44 @@
     );
 }
 
+// Guards against resets of open flows on a route that was just added, by an entry VM whose
+// configuration is older than the route (docs/incidents/unknown-route.md).
+#[test]
+fn a_flow_of_a_route_that_is_not_known_yet_is_not_reset() {
+    let mut vm = entry_vm(3);
+    let key = flow(1, 9_999);
+    let packet = data(key, cookie(2), 101, 1_000);
+    let verdict = vm.packet(ms(2), &packet);
+    assert_eq!(verdict, Verdict::Drop(DropReason::RouteUnknown));
+    let mut more = routes(2);
+    let route = more.routes[&address(AT_MOST_ONCE_PORT)].clone();
+    more.routes.insert(key.address, route);
+    vm.apply(ms(100), Change::Routes(more));
+    let verdict = vm.packet(ms(202), &packet);
+    assert_eq!(target_number(&vm, verdict), 2);
+}
+
+#[test]
+fn a_dropped_route_is_forgotten_when_it_is_added_again_or_after_the_longest_flow() {
+    let address = address(IDEMPOTENT_PORT);
+    let mut fewer = routes(2);
+    fewer.routes.shift_remove(&address);
+    let mut vm = entry_vm(3);
+    let service = vm.directory().route(&address, 0).expect("a route").service;
+    let status = |vm: &Steering| vm.directory().route_status(&address, service);
+    vm.apply(ms(1), Change::Routes(fewer.clone()));
+    assert_eq!(status(&vm), RouteStatus::Dropped);
+    vm.apply(ms(2), Change::Routes(routes(3)));
+    assert_eq!(status(&vm), RouteStatus::Allowed(RequestKind::Idempotent));
+    fewer.version = 4;
+    vm.apply(ms(3), Change::Routes(fewer));
+    let end = ms(3) + Options::default().flow_ttl;
+    vm.tick(end);
+    assert_eq!(status(&vm), RouteStatus::Dropped);
+    vm.tick(end + Duration::from_millis(1));
+    assert_eq!(status(&vm), RouteStatus::Unknown);
+}
+
 #[test]
 fn requests_in_flight_follow_the_requests_and_responses_of_a_long_flow() {
     let mut vm = entry_vm(3);
