fix: a response body that goes silent is given up after a second

Callers saw: requests run on a route that had been dropped, for up to 10 s (CONFIG), while a seed waited for the rest of a body on a connection that had gone silent.

Cause: the only timeout of a body was that of the whole body, 10 s, since large ones take long over slow links. Silence was not bounded. A follower makes one request at a time.

Ruled out: a shorter total (a large body would never arrive over a slow link).

Change: Timeouts as one settings struct; each read of a response may take as long as its headers, at least 1 s.

--- a/crates/cicadaweir/src/steered.rs
+++ b/crates/cicadaweir/src/steered.rs
@@ -12,7 +12,7 @@
     steer::{Directory, RequestKind, TargetEntry},
 };
 use cicadaweir_platform::ready;
-use cicadaweird::steered::{StoreClient, StoreError, decode_change};
+use cicadaweird::steered::{StoreClient, StoreError, Timeouts, decode_change};
 use serde::Serialize;
 use serde_json::{Value, json};
 use ureq::Agent;
@@ -70,7 +70,7 @@
 ///
 /// [`Error::Store`] if a page of keys cannot be read.
 pub fn read(store: SocketAddr) -> Result<Directory, Error> {
-    let client = StoreClient::new(store);
+    let client = StoreClient::new(store, Timeouts::default());
     let mut directory = Directory::default();
     let mut after = None;
     loop {
--- a/crates/cicadaweird/src/steered.rs
+++ b/crates/cicadaweird/src/steered.rs
@@ -24,7 +24,9 @@
 mod seeds;
 
 pub use changes::{Rejection, RejectionKind, decode_change};
-pub use client::{FeedClient, FeedResponse, FeedWatch, StoreAnswer, StoreClient, StoreError};
+pub use client::{
+    FeedClient, FeedResponse, FeedWatch, StoreAnswer, StoreClient, StoreError, Timeouts,
+};
 pub use engine::Engine;
 pub use feed::Feed;
 pub use follow::{Follower, StoreUpdate};
--- a/crates/cicadaweird/src/steered/client.rs
+++ b/crates/cicadaweird/src/steered/client.rs
@@ -15,20 +15,41 @@
 
 use super::changes::{Rejection, RejectionKind};
 
-/// The timeout of connecting and of sending a request: several times the store's
-/// usual response time.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
-/// The timeout for the response headers of a read. The store usually responds
-/// within 4 ms; one that is fifty times slower is still usable.
-const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// The timeout for a response body. Hundreds of entry VMs that start at the same
-/// time share the store's link, and a megabyte takes a second at 10 Mbit/s.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Timeouts of the requests of a client.
+///
+/// The sum of the timeouts of one request is the longest time for which a source that has
+/// gone silent delays a change; it has to be well below the time in which a change must
+/// be in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timeouts {
+    /// The timeout of connecting and of sending a request: several times the store's
+    /// usual response time.
+    pub connect: Duration,
+    /// The timeout for the response headers of a read. The store usually responds
+    /// within 4 ms; one that is fifty times slower is still usable.
+    pub read: Duration,
+    /// The timeout for the response headers of a watch, on top of the requested wait.
+    pub watch_margin: Duration,
+    /// The longest time without a byte of the body, if that is longer than the timeout
+    /// for the headers: time for a segment to be lost twice. A connection that has gone
+    /// silent looks the same.
+    pub body_silence: Duration,
+    /// The timeout for a response body. Hundreds of entry VMs that start at the same
+    /// time share the store's link, and a megabyte takes a second at 10 Mbit/s.
+    pub body: Duration,
+}
 
-/// The timeout for the response headers of a watch, on top of the requested wait.
-const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
+impl Default for Timeouts {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_millis(300),
+            read: Duration::from_millis(1_500),
+            watch_margin: Duration::from_millis(500),
+            body_silence: Duration::from_millis(1_000),
+            body: Duration::from_secs(10),
+        }
+    }
+}
 
 /// The largest response body in bytes. A page holds at most 500 items or 1 MB of
 /// values, in base64.
@@ -110,7 +131,7 @@
 /// A client of the store.
 #[derive(Debug, Clone)]
 pub struct StoreClient {
-    agent: Agent,
+    http: HttpClient,
     address: SocketAddr,
 }
 
@@ -128,7 +149,7 @@
 /// A client of other entry VMs' feeds.
 #[derive(Debug, Clone)]
 pub struct FeedClient {
-    agent: Agent,
+    http: HttpClient,
     own_address: SocketAddr,
     zone: String,
 }
@@ -148,9 +169,9 @@
 impl FeedClient {
     /// Creates a client for the entry VM in the named availability zone whose own
     /// feed is at `own_address`.
-    pub fn new(own_address: SocketAddr, zone: &str) -> Self {
+    pub fn new(own_address: SocketAddr, zone: &str, timeouts: Timeouts) -> Self {
         Self {
-            agent: agent(),
+            http: HttpClient::new(timeouts),
             own_address,
             zone: zone.to_owned(),
         }
@@ -164,7 +185,7 @@
     /// of the store.
     pub fn read_all(&self, peer: SocketAddr) -> Result<FeedResponse, StoreError> {
         let url = format!("http://{peer}{ALL_PATH}");
-        let body = self.get(&url, READ_TIMEOUT)?;
+        let body = self.get(&url, self.http.timeouts.read)?;
         let (age, as_of) = (Duration::from_millis(body.age_ms), body.as_of);
         Ok(FeedResponse {
             response: StoreResponse::Page {
@@ -192,7 +213,7 @@
         if watch.is_seed {
             url.push_str("&seed=1");
         }
-        let body = match self.get(&url, watch.wait + WATCH_TIMEOUT_MARGIN) {
+        let body = match self.get(&url, self.http.timeouts.of_watch(watch.wait)) {
             Err(StoreError::Status(410)) => {
                 return Ok(FeedResponse {
                     response: StoreResponse::Compacted,
@@ -215,7 +236,7 @@
     }
 
     fn get(&self, url: &str, timeout: Duration) -> Result<FeedBody, StoreError> {
-        let (status, body) = get(&self.agent, url, timeout)?;
+        let (status, body) = self.http.get(url, timeout)?;
         if status != 200 {
             return Err(StoreError::Status(status));
         }
@@ -225,9 +246,9 @@
 
 impl StoreClient {
     /// Creates a client of the store at `address`. It connects on the first request.
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, timeouts: Timeouts) -> Self {
         Self {
-            agent: agent(),
+            http: HttpClient::new(timeouts),
             address,
         }
     }
@@ -245,7 +266,7 @@
         stale: bool,
     ) -> Result<StoreAnswer, StoreError> {
         let path = store::range_path(prefix, after, stale);
-        let (status, body) = self.get(&path, READ_TIMEOUT)?;
+        let (status, body) = self.get(&path, self.http.timeouts.read)?;
         if status != 200 {
             return Err(StoreError::Status(status));
         }
@@ -272,7 +293,7 @@
             response: StoreResponse::Compacted,
             rejected,
         };
-        let (status, body) = match self.get(&path, wait + WATCH_TIMEOUT_MARGIN) {
+        let (status, body) = match self.get(&path, self.http.timeouts.of_watch(wait)) {
             Err(err @ StoreError::TooLarge(_)) => {
                 let rejection = Rejection {
                     kind: RejectionKind::Item,
@@ -292,36 +313,57 @@
     }
 
     fn get(&self, path: &str, timeout: Duration) -> Result<(u16, Vec<u8>), StoreError> {
-        get(
-            &self.agent,
-            &format!("http://{}{path}", self.address),
-            timeout,
-        )
+        let url = format!("http://{}{path}", self.address);
+        self.http.get(&url, timeout)
     }
 }
 
-fn agent() -> Agent {
-    let config = Agent::config_builder()
-        .http_status_as_error(false)
-        .timeout_connect(Some(CONNECT_TIMEOUT))
-        .timeout_send_request(Some(CONNECT_TIMEOUT))
-        .timeout_recv_body(Some(BODY_TIMEOUT))
-        .max_idle_connections(1)
-        .build();
-    config.into()
+impl Timeouts {
+    /// Returns the timeout for the response headers of a watch that waits for changes.
+    fn of_watch(&self, wait: Duration) -> Duration {
+        wait + self.watch_margin
+    }
+}
+
+/// Sends requests and reads whole responses, each within the timeouts.
+#[derive(Debug, Clone)]
+struct HttpClient {
+    agent: Agent,
+    timeouts: Timeouts,
 }
 
-fn get(agent: &Agent, url: &str, timeout: Duration) -> Result<(u16, Vec<u8>), StoreError> {
-    let req = agent.get(url).config();
-    let req = req.timeout_recv_response(Some(timeout)).build();
-    let mut response = req.call().map_err(unavailable)?;
-    let status = response.status().as_u16();
-    let reader = response.body_mut().with_config().limit(MAX_BODY_BYTES);
-    let body = reader.read_to_vec().map_err(|err| match err {
-        ureq::Error::BodyExceedsLimit(limit) => StoreError::TooLarge(limit),
-        err => unavailable(err),
-    })?;
-    Ok((status, body))
+impl HttpClient {
+    fn new(timeouts: Timeouts) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_connect(Some(timeouts.connect))
+            .timeout_send_request(Some(timeouts.connect))
+            .timeout_recv_body(Some(timeouts.body))
+            .max_idle_connections(1)
+            .build();
+        Self {
+            agent: config.into(),
+            timeouts,
+        }
+    }
+
+    /// Returns the status and the body of a response whose headers arrive within
+    /// `timeout`.
+    fn get(&self, url: &str, timeout: Duration) -> Result<(u16, Vec<u8>), StoreError> {
+        let req = self.agent.get(url).config();
+        let req = req
+            .timeout_recv_response(Some(timeout))
+            .timeout_per_read(Some(timeout.max(self.timeouts.body_silence)))
+            .build();
+        let mut response = req.call().map_err(unavailable)?;
+        let status = response.status().as_u16();
+        let reader = response.body_mut().with_config().limit(MAX_BODY_BYTES);
+        let body = reader.read_to_vec().map_err(|err| match err {
+            ureq::Error::BodyExceedsLimit(limit) => StoreError::TooLarge(limit),
+            err => unavailable(err),
+        })?;
+        Ok((status, body))
+    }
 }
 
 fn unavailable(err: ureq::Error) -> StoreError {
--- a/crates/cicadaweird/src/steered/run.rs
+++ b/crates/cicadaweird/src/steered/run.rs
@@ -25,7 +25,7 @@
     threads,
 };
 
-use super::{Engine, Feed, FeedClient, Follower, StoreClient, StoreUpdate, endpoint};
+use super::{Engine, Feed, FeedClient, Follower, StoreClient, StoreUpdate, Timeouts, endpoint};
 
 /// The longest time that one poll blocks.
 const MAX_WAIT: Duration = Duration::from_secs(1);
@@ -147,8 +147,12 @@
             }
         };
         let follower = Follower {
-            store: StoreClient::new(engine.settings().store.address),
-            peers: FeedClient::new(listen.peer, &engine.settings().member.zone),
+            store: StoreClient::new(engine.settings().store.address, Timeouts::default()),
+            peers: FeedClient::new(
+                listen.peer,
+                &engine.settings().member.zone,
+                Timeouts::default(),
+            ),
             feed: Feed::start(
                 listen.peer,
                 &engine.settings().member.zone,
--- a/crates/cicadaweird/tests/steered/main.rs
+++ b/crates/cicadaweird/tests/steered/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the daemon for packets that name their target in a cookie: real
 //! processes against a store stand-in.
 
+mod client;
 mod feed;
 mod packets;
 mod stops;
