fix: an opening that its caller may have repeated elsewhere is not placed

Callers saw: open flows were reset by a target that was not theirs (FLOW), seconds after an entry VM had woken from a freeze.

Cause: openings that lay unread during the pause were placed when the process woke. Their callers had opened the flows with copies elsewhere; the answers of the second targets changed the cookies that they send.

Ruled out: telling the targets apart by a later packet (neither answer was seen here).

Change: Steering::is_overtaken is the one place that decides this: read just after a pause, or waiting here for longer than the time to the caller's next copy. It also covers openings that wait for the store's first read or for capacity while the rotation changes.

Fixtures of tests: entry_vm() counts no time without ticks as a pause, as its tests jump in time; pass_time() ticks where the pause matters. No assertion changed.

--- a/crates/cicadaweir-core/src/steer/options.rs
+++ b/crates/cicadaweir-core/src/steer/options.rs
@@ -58,6 +58,9 @@
     pub departed_reset_retransmissions: u32,
     /// The maximum age of a view of the store on which a reset may be based.
     pub max_view_age: Duration,
+    /// The times from an opening and from each of its copies to the next copy, and from
+    /// the last copy to the end of the caller's attempt.
+    pub copy_intervals: [Duration; 3],
     /// The maximum number of packets that may wait for a decision.
     pub max_pending: usize,
     /// How long a packet may wait for the first read of the store: a little
@@ -147,6 +150,7 @@
             zone_reset_retransmissions: 2,
             departed_reset_retransmissions: 2,
             max_view_age: Duration::from_millis(4_000),
+            copy_intervals: [200, 400, 800].map(Duration::from_millis),
             max_pending: 1_024,
             store_read_timeout: Duration::from_millis(1_200),
             capacity_timeout: Duration::from_millis(150),
--- a/crates/cicadaweir-core/src/steer/pending.rs
+++ b/crates/cicadaweir-core/src/steer/pending.rs
@@ -49,6 +49,8 @@
     pub segment: Segment,
     /// When it arrived.
     pub since: Instant,
+    /// The number of the latest copy that has arrived of an opening, and when it did.
+    pub latest_copy: (u32, Instant),
     /// What it waits for; absent if it isn't an opening, or while its route is
     /// unknown.
     pub class: Option<OpeningClass>,
@@ -67,15 +69,20 @@
 }
 
 impl PendingPackets {
-    /// Returns whether an earlier copy of a packet is pending, so that this one
-    /// can be dropped.
-    pub fn has_duplicate_of(&self, segment: &Segment) -> bool {
-        self.packets.iter().any(|pending| {
+    /// Returns whether an earlier copy of a packet is pending, so that this one can be
+    /// dropped. The earlier one then stands for this one.
+    pub fn absorbs(&mut self, now: Instant, segment: &Segment) -> bool {
+        let earlier = self.packets.iter_mut().find(|pending| {
             let known = &pending.segment;
             known.flow == segment.flow
                 && known.kind == segment.kind
                 && (known.kind == PacketKind::Opening || known.sequence == segment.sequence)
-        })
+        });
+        let absorbs = earlier.is_some();
+        if let Some(earlier) = earlier {
+            earlier.latest_copy = (segment.copy, now);
+        }
+        absorbs
     }
 
     /// Adds a packet.
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -198,7 +198,12 @@
 
     /// Decides on a packet that was pending.
     pub fn decide_pending(&mut self, now: Instant, pending: &PendingPacket) -> Verdict {
+        let (copy, read_at) = pending.latest_copy;
+        let is_opening = pending.segment.kind == PacketKind::Opening;
         let verdict = match pending.fate {
+            Fate::Decide if is_opening && self.is_overtaken(now, copy, read_at) => {
+                Verdict::Drop(DropReason::Overtaken)
+            }
             Fate::Decide => self.decide(now, &pending.segment, false),
             Fate::Refuse => self.refuse_pending(now, pending),
         };
@@ -212,6 +217,7 @@
             packet,
             segment: *segment,
             since: now,
+            latest_copy: (segment.copy, now),
             class: None,
             fate: Fate::Decide,
         });
@@ -254,7 +260,11 @@
     }
 
     fn decide_new(&mut self, now: Instant, segment: &Segment) -> Verdict {
-        if self.has_pending() && self.pending.has_duplicate_of(segment) {
+        let is_opening = segment.kind == PacketKind::Opening;
+        if is_opening && self.is_overtaken(now, segment.copy, now) {
+            return Verdict::Drop(DropReason::Overtaken);
+        }
+        if self.has_pending() && self.pending.absorbs(now, segment) {
             return Verdict::Drop(DropReason::Copy);
         }
         let verdict = self.decide(now, segment, true);
@@ -302,6 +312,24 @@
         self.observe_refusals(now);
     }
 
+    /// Returns whether the caller of an opening may have sent a later copy than this one,
+    /// which was read at `read_at`, and may have opened the flow with it.
+    ///
+    /// Such an opening is not placed: a second target would answer it, and the caller
+    /// would then send that target's cookie in the flow that is open at another one.
+    fn is_overtaken(&self, now: Instant, copy: u32, read_at: Instant) -> bool {
+        let intervals = &self.options.copy_intervals;
+        let interval = intervals[(copy as usize).min(intervals.len() - 1)];
+        self.may_have_lain_unread(read_at) || now.since(read_at) >= interval
+    }
+
+    /// Returns whether a packet that was read at a time may have arrived before a pause of
+    /// this process, as packets do that are read just after one.
+    fn may_have_lain_unread(&self, read_at: Instant) -> bool {
+        self.resumed_at
+            .is_some_and(|resumed| read_at.since(resumed) < self.options.pause)
+    }
+
     fn record_activity(&mut self, now: Instant) {
         let pause = self.options.pause;
         if self.active_at.is_some_and(|at| now.since(at) > pause) {
--- a/crates/cicadaweir-core/src/steer/steering/admitting.rs
+++ b/crates/cicadaweir-core/src/steer/steering/admitting.rs
@@ -83,14 +83,9 @@
     }
 
     /// Returns whether a refusal of an opening that was read at `since` is true: no copy
-    /// of it can have been sent to a target, here or by another entry VM. What is read
-    /// just after a pause of this process may have arrived long before.
+    /// of it can have been sent to a target, here or by another entry VM.
     fn may_refuse(&self, now: Instant, segment: &Segment, since: Instant) -> bool {
-        let pause = self.options.pause;
-        let lay_unread = self
-            .resumed_at
-            .is_some_and(|resumed| since.since(resumed) < pause);
-        self.is_fresh(now, segment, since) && !lay_unread
+        self.is_fresh(now, segment, since) && !self.may_have_lain_unread(since)
     }
 
     /// Returns whether a packet that was read at `since` is a first copy, and its caller
--- a/crates/cicadaweir-core/src/steer/verdict.rs
+++ b/crates/cicadaweir-core/src/steer/verdict.rs
@@ -87,6 +87,9 @@
     Copy,
     /// Too many packets are pending, or this one has been pending for too long.
     Waited,
+    /// The opening may have been sent long ago, so that its caller may have opened the
+    /// flow with a later copy.
+    Overtaken,
 }
 
 impl ResetReason {
@@ -113,13 +116,14 @@
 
 impl DropReason {
     /// All reasons, in the order of their discriminants.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::RouteUnknown,
         Self::TargetUnknown,
         Self::OtherService,
         Self::Unexpected,
         Self::Copy,
         Self::Waited,
+        Self::Overtaken,
     ];
 
     /// Returns the reason's name in logs and metrics.
@@ -131,6 +135,7 @@
             Self::Unexpected => "unexpected",
             Self::Copy => "copy",
             Self::Waited => "waited",
+            Self::Overtaken => "overtaken",
         }
     }
 }
--- a/crates/cicadaweir-core/tests/steer/admission.rs
+++ b/crates/cicadaweir-core/tests/steer/admission.rs
@@ -11,7 +11,7 @@
 
 use crate::support::{
     AT_MOST_ONCE_PORT, IDEMPOTENT_PORT, acknowledgement, address, cookie, flow, ms, opening,
-    target, target_number,
+    pass_time, target, target_number,
 };
 
 /// The latency objective of the routes, in milliseconds.
@@ -302,7 +302,9 @@
         for placed in open {
             driver.answer(at + 1_500, placed);
         }
+        pass_time(&mut driver.vm, at + 1_500, at + 2_000);
     }
+    pass_time(&mut driver.vm, 40_000, 60_000);
     assert!(driver.limit() >= before, "pauses: {}", driver.limit());
     for round in 0..200 {
         let at = 60_000 + round * 250;
--- a/crates/cicadaweir-core/tests/steer/pending.rs
+++ b/crates/cicadaweir-core/tests/steer/pending.rs
@@ -7,8 +7,8 @@
 };
 
 use crate::support::{
-    IDEMPOTENT_PORT, cookie, data, entry_vm_with, flow, ms, opening, routes, target, target_number,
-    unlimited_admission,
+    IDEMPOTENT_PORT, cookie, data, entry_vm_with, flow, ms, opening, pass_time, routes, target,
+    target_number, unlimited_admission, unlimited_capacity,
 };
 
 /// Decides all pending packets that can be decided, as the driver does.
@@ -161,3 +161,46 @@
     }
     assert_eq!(vm.counters().waits, 2);
 }
+
+// Guards against resets of open flows by a second target: an opening that lay unread while
+// this process was paused is answered after its caller has opened the flow elsewhere, and
+// changes the cookie that the caller sends (docs/incidents/opening-after-a-pause.md).
+#[test]
+fn an_opening_that_lay_unread_during_a_pause_is_not_placed() {
+    let mut vm = entry_vm_with(3, unlimited_capacity());
+    vm.tick(ms(0));
+    for (at, copy) in [(4_000, 0), (4_001, 1), (4_299, 2)] {
+        let verdict = vm.packet(ms(at), &opening(flow(7, IDEMPOTENT_PORT), copy));
+        assert_eq!(verdict, Verdict::Drop(DropReason::Overtaken), "at {at}");
+    }
+    let verdict = vm.packet(ms(4_300), &opening(flow(8, IDEMPOTENT_PORT), 0));
+    assert!(matches!(verdict, Verdict::Place { .. }), "{verdict:?}");
+}
+
+// The same while an opening waits here: its caller sends the next copy to another entry VM
+// when the routers change the rotation, or this process is paused.
+#[test]
+fn an_opening_that_waits_is_not_placed_when_its_next_copy_went_elsewhere() {
+    let read_store = |vm: &mut Steering, now| {
+        vm.apply(now, Change::Routes(routes(1)));
+        vm.apply(now, Change::Target(target(3, "classes", "a")));
+        vm.mark_store_read();
+        decide_ready(vm, now)
+    };
+    for (decided_at, has_copies) in [(199, false), (200, false), (599, true), (999, true)] {
+        let mut vm = Steering::new(Options::default(), "a", 1);
+        let first = opening(flow(1, IDEMPOTENT_PORT), 0);
+        assert!(matches!(vm.packet(ms(0), &first), Verdict::Wait(_)));
+        vm.enqueue(ms(0), &first, PacketRef(1));
+        if has_copies {
+            let copy = opening(flow(1, IDEMPOTENT_PORT), 1);
+            pass_time(&mut vm, 0, 200);
+            assert_eq!(vm.packet(ms(200), &copy), Verdict::Drop(DropReason::Copy));
+        }
+        pass_time(&mut vm, 200, decided_at);
+        let decided = read_store(&mut vm, ms(decided_at));
+        let is_placed = matches!(decided[..], [(1, Verdict::Place { .. })]);
+        let expected = decided_at == 199 || decided_at == 599;
+        assert_eq!(is_placed, expected, "at {decided_at}: {decided:?}");
+    }
+}
--- a/crates/cicadaweir-core/tests/steer/support.rs
+++ b/crates/cicadaweir-core/tests/steer/support.rs
@@ -105,8 +105,15 @@
 
 /// Returns an entry VM in zone `a` with `count` targets of `classes` spread over
 /// the zones, numbered from 1, and two of `sheets`, numbered 101 and 102.
+///
+/// Time without packets doesn't count as a pause of its process, so that tests can let
+/// time pass without ticks.
 pub fn entry_vm(count: u64) -> Steering {
-    entry_vm_with(count, unlimited_capacity())
+    let options = Options {
+        pause: Duration::from_secs(3_600),
+        ..unlimited_capacity()
+    };
+    entry_vm_with(count, options)
 }
 
 /// Returns the entry VM of [`entry_vm`] with other options.
@@ -124,6 +131,14 @@
     vm
 }
 
+/// Lets time pass after the last packet or tick at `from`, with ticks as the driver makes
+/// them, so that it doesn't count as a pause of the process.
+pub fn pass_time(vm: &mut Steering, from: u64, to: u64) {
+    for at in (from..to).step_by(200).skip(1) {
+        vm.tick(ms(at));
+    }
+}
+
 pub fn opening(flow: FlowKey, copy: u32) -> Segment {
     Segment {
         flow,
--- a/crates/cicadaweir-core/tests/steer/suspicion.rs
+++ b/crates/cicadaweir-core/tests/steer/suspicion.rs
@@ -7,7 +7,7 @@
 
 use crate::support::{
     AT_MOST_ONCE_PORT, IDEMPOTENT_PORT, acknowledgement, close_flow, cookie, data, entry_vm,
-    entry_vm_with, flow, ms, open_flow, open_flow_on_target, opening, target_number,
+    entry_vm_with, flow, ms, open_flow, open_flow_on_target, opening, pass_time, target_number,
     unlimited_capacity,
 };
 
@@ -137,6 +137,7 @@
             &data(flow(caller, IDEMPOTENT_PORT), cookie(remote), 101, 1_000),
         );
     }
+    pass_time(&mut vm, 210, 1_800);
     assert_eq!(trust(&vm, ms(1_800), remote), Trust::Probation);
     let probes = (10..12).filter(|&caller| {
         let verdict = vm.packet(ms(1_800), &opening(flow(caller, IDEMPOTENT_PORT), 0));
