fix: an opening from ports of a remembered flow is placed like any other

Callers saw: openings reached a target long after it had said that it drains (DRAIN). By the same lines an opening on a dropped route reached the service of before (CONFIG).

Ruled out: dropping all openings for remembered flows (the port could not be used for 60 s).

Change: FlowState::includes tells a copy of the flow's own opening from a new one; a new one ends the remembered flow and is placed. A copy goes to the flow's target only while that may get new flows of the route.

--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -364,12 +364,14 @@
     }
 
     fn decide_opening(&mut self, now: Instant, segment: &Segment, may_wait: bool) -> Verdict {
-        let known = self.flows.get_mut(&segment.flow).copied();
+        let mut known = self.flows.get(&segment.flow).copied();
         if let Some(flow) = known.filter(|flow| flow.phase == FlowPhase::Open) {
-            return Verdict::Forward {
-                target: flow.target,
-                adopted: false,
-            };
+            if flow.includes(segment) {
+                return self.decide_late_copy(segment, flow.target);
+            }
+            // The caller has closed that flow elsewhere and uses its port again.
+            self.forget_flow(segment, &flow);
+            known = None;
         }
         let draw = self.rng.next_u64();
         let Some(route) = self.directory.route(&segment.flow.address, draw) else {
@@ -413,6 +415,25 @@
         Verdict::Place { target, inputs }
     }
 
+    /// Decides on a copy of the opening of an open flow. It is sent to the flow's target
+    /// alone, and only while that target may get new flows of the route: if it has lost the
+    /// flow, the copy opens another one.
+    fn decide_late_copy(&self, segment: &Segment, target: TargetKey) -> Verdict {
+        let may_open = self.directory.target(target).is_some_and(|entry| {
+            let status = self
+                .directory
+                .route_status(&segment.flow.address, entry.service);
+            entry.is_eligible() && matches!(status, RouteStatus::Allowed(_))
+        });
+        if !may_open {
+            return Verdict::Drop(DropReason::Copy);
+        }
+        Verdict::Forward {
+            target,
+            adopted: false,
+        }
+    }
+
     fn missing_route_verdict(&self, now: Instant) -> Verdict {
         if self.has_recent_view(now) {
             Verdict::Reset(ResetReason::NoRoute)
--- a/crates/cicadaweir-core/src/steer/verdict.rs
+++ b/crates/cicadaweir-core/src/steer/verdict.rs
@@ -83,7 +83,7 @@
     OtherService,
     /// Callers don't send packets of this kind.
     Unexpected,
-    /// An earlier copy of the packet is pending.
+    /// An earlier copy of the packet is pending, or has opened the flow.
     Copy,
     /// Too many packets are pending, or this one has been pending for too long.
     Waited,
--- a/crates/cicadaweir-core/tests/steer/reuse.rs
+++ b/crates/cicadaweir-core/tests/steer/reuse.rs
@@ -3,15 +3,17 @@
 use cicadaweir_core::{
     flow::FlowKey,
     prelude::*,
-    steer::{Applied, Change, DropReason, Options, Segment, Verdict},
+    steer::{
+        Applied, Change, DropReason, Options, ResetReason, Segment, Steering, TargetState, Verdict,
+    },
 };
 
 use crate::support::{
-    AT_MOST_ONCE_PORT, IDEMPOTENT_PORT, acknowledgement, cookie, data, entry_vm, flow, ms,
-    open_flow, open_flow_on_target, opening, target, target_number,
+    AT_MOST_ONCE_PORT, IDEMPOTENT_PORT, acknowledgement, address, cookie, data, entry_vm, flow, ms,
+    open_flow, open_flow_on_target, opening, routes, target, target_number,
 };
 
-fn key(vm: &cicadaweir_core::steer::Steering, n: u64) -> TargetKey {
+fn key(vm: &Steering, n: u64) -> TargetKey {
     vm.directory().by_cookie(cookie(n)).expect("a known target")
 }
 
@@ -178,3 +180,70 @@
     let verdict = vm.packet(ms(9_000), &data(key, cookie(other), 40_101, 901_000));
     assert_eq!(target_number(&vm, verdict), held);
 }
+
+/// What ends the flows of a target for new openings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Closed {
+    Draining,
+    RouteDropped,
+}
+
+impl Closed {
+    fn apply(self, vm: &mut Steering, n: u64) {
+        match self {
+            Self::Draining => {
+                let mut draining = target(n, "classes", "a");
+                draining.state = TargetState::Draining;
+                vm.apply(ms(9_000), Change::Target(draining));
+            }
+            Self::RouteDropped => {
+                let mut fewer = routes(2);
+                fewer.routes.shift_remove(&address(AT_MOST_ONCE_PORT));
+                vm.apply(ms(9_000), Change::Routes(fewer));
+            }
+        }
+        vm.record_store_view(ms(16_999));
+    }
+}
+
+// Guards against openings that reach a target that drains, or a target on a route that was
+// dropped: their ports belong to an earlier flow that the caller closed through another entry
+// VM (docs/incidents/opening-from-reused-ports.md).
+#[test]
+fn an_opening_from_ports_of_a_remembered_flow_is_placed_like_any_other() {
+    for closed in [Closed::Draining, Closed::RouteDropped] {
+        for is_copy in [false, true] {
+            let mut vm = entry_vm(3);
+            let reused = flow(7, AT_MOST_ONCE_PORT);
+            let old = open_flow(&mut vm, ms(0), reused);
+            closed.apply(&mut vm, old);
+            let mut packet = opening(reused, 0);
+            if !is_copy {
+                packet.sequence = 3_000_000_000;
+            }
+            let verdict = vm.packet(ms(17_000), &packet);
+            let expected = match (is_copy, closed) {
+                (true, _) => Verdict::Drop(DropReason::Copy),
+                (false, Closed::RouteDropped) => Verdict::Reset(ResetReason::NoRoute),
+                (false, Closed::Draining) => {
+                    assert_ne!(target_number(&vm, verdict), old, "the target drains");
+                    continue;
+                }
+            };
+            assert_eq!(verdict, expected, "{closed:?}, copy: {is_copy}");
+        }
+    }
+}
+
+// An opening with another sequence number shows that the remembered flow has ended.
+#[test]
+fn a_new_opening_releases_the_load_of_the_flow_before() {
+    let mut vm = entry_vm(1);
+    let reused = flow(7, AT_MOST_ONCE_PORT);
+    open_flow(&mut vm, ms(0), reused);
+    let mut packet = opening(reused, 0);
+    packet.sequence = 3_000_000_000;
+    let verdict = vm.packet(ms(17_000), &packet);
+    assert!(matches!(verdict, Verdict::Place { .. }), "{verdict:?}");
+    assert_eq!(vm.target_load(key(&vm, 1)).open, 1);
+}
