test: a soak that changes the configuration while links are cut

Nine daemons in three zones behind TCP links that can be cut, or whose open connections go silent for good; processes are frozen, killed and started again; the store is down, silent or compacted.

--- a/crates/cicadaweir-soak/src/lib.rs
+++ b/crates/cicadaweir-soak/src/lib.rs
@@ -19,11 +19,15 @@
 //! | [`proxy`] | faults of the connections between daemons and store |
 //! | [`target`] | targets |
 //! | [`callers`] | callers |
+//! | [`config`] | changes of the configuration under faults |
+//! | [`link`] | links between daemons, and to the store, that can be cut |
 //! | [`run`](fn@run) | faults, routing of flows to daemons, checks and the report |
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
 pub mod callers;
+pub mod config;
+pub mod link;
 mod options;
 pub mod proxy;
 mod report;
--- a/crates/cicadaweir-soak/src/main.rs
+++ b/crates/cicadaweir-soak/src/main.rs
@@ -3,7 +3,7 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
-use cicadaweir_soak::{Options, run};
+use cicadaweir_soak::{Options, config, run};
 
 /// The number of networks that runs use in turn, because connections of the
 /// previous run may still be open.
@@ -39,12 +39,18 @@
     program: PathBuf,
     /// Print each fault when it is injected
     progress: bool,
+    /// Change the configuration under faults, with nine daemons in three zones
+    config: bool,
+    /// The number of the only fault, with --config
+    #[bpaf(argument("N"))]
+    only: Option<u64>,
 }
 
 fn main() -> ExitCode {
     let arguments = arguments().run();
     let mut violations = 0;
     for seed in arguments.seed..arguments.seed + arguments.seeds {
+        let run = if arguments.config { config::run } else { run };
         let report = run(Options {
             seed,
             faults: arguments.faults,
@@ -53,6 +59,7 @@
             net: arguments.net + (seed % NETWORKS) as u8,
             program: arguments.program.clone(),
             progress: arguments.progress,
+            only: arguments.only,
             ..Options::default()
         });
         println!("{report}");
--- a/crates/cicadaweir-soak/src/options.rs
+++ b/crates/cicadaweir-soak/src/options.rs
@@ -22,6 +22,8 @@
     pub net: u8,
     /// Whether each fault is printed when it is injected.
     pub progress: bool,
+    /// The number of the only fault that a run of [`crate::config`] injects; all if absent.
+    pub only: Option<u64>,
 }
 
 impl Default for Options {
@@ -35,6 +37,7 @@
             program: PathBuf::from("target/release/cicadaweird"),
             net: 200,
             progress: false,
+            only: None,
         }
     }
 }
--- a/crates/cicadaweir-standins/src/steered.rs
+++ b/crates/cicadaweir-standins/src/steered.rs
@@ -24,6 +24,9 @@
 /// The port on which daemons and callers receive packets.
 const PACKETS_PORT: u16 = 8_172;
 
+/// The port of a daemon's feed for other daemons.
+const PEER_PORT: u16 = 8_166;
+
 /// The number of leading header bytes that identify the flow.
 const FLOW_BYTES: usize = 12;
 
@@ -152,6 +155,23 @@
     ///
     /// If the files cannot be written or the process does not start.
     pub fn daemon_with_store(&self, number: u8, seeds: &[u8], store: SocketAddr) -> Daemon {
+        let seeds: Vec<_> = seeds.iter().map(|&n| self.address(n, PEER_PORT)).collect();
+        self.daemon_in_zone(number, "a", &seeds, store)
+    }
+
+    /// Starts daemon `number` in an availability zone, with the addresses of the feeds of
+    /// its seeds and that of its store.
+    ///
+    /// # Panics
+    ///
+    /// If the files cannot be written or the process does not start.
+    pub fn daemon_in_zone(
+        &self,
+        number: u8,
+        zone: &str,
+        seeds: &[SocketAddr],
+        store: SocketAddr,
+    ) -> Daemon {
         let start = STARTS.fetch_add(1, Ordering::Relaxed);
         let temp_file = |extension: &str| {
             let (process, net) = (std::process::id(), self.net);
@@ -159,7 +179,7 @@
             std::env::temp_dir().join(name)
         };
         let (settings, output) = (temp_file("toml"), temp_file("log"));
-        fs::write(&settings, self.settings(number, seeds, store))
+        fs::write(&settings, self.settings(number, zone, seeds, store))
             .expect("writing the settings file");
         let out = fs::File::create(&output).expect("creating the log file");
         let child = Command::new(&self.program)
@@ -176,20 +196,17 @@
         }
     }
 
-    fn settings(&self, number: u8, seeds: &[u8], store: SocketAddr) -> String {
-        let seeds: Vec<String> = seeds
-            .iter()
-            .map(|&seed| format!("\"{}\"", self.address(seed, 8_166)))
-            .collect();
+    fn settings(&self, number: u8, zone: &str, seeds: &[SocketAddr], store: SocketAddr) -> String {
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         format!(
-            "carrier = \"cookie\"\nseeds = [{}]\n[member]\nname = \"vm-{number}\"\nzone = \"a\"\n\
+            "carrier = \"cookie\"\nseeds = [{}]\n[member]\nname = \"vm-{number}\"\nzone = \"{zone}\"\n\
              [listen]\npackets = \"{}\"\nready = \"{}\"\nmetrics = \"{}\"\npeer = \"{}\"\n\
              [store]\naddress = \"{store}\"\n",
             seeds.join(", "),
             self.address(number, PACKETS_PORT),
             self.address(number, 8_167),
             self.address(number, 8_168),
-            self.address(number, 8_166),
+            self.address(number, PEER_PORT),
         )
     }
 
