fix: a call to a seed that has failed doesn't delay the follower's call to the store

Callers saw: requests run on a dropped route 3.0 to 3.2 s after the drop was confirmed (CONFIG), through a follower that nothing disturbed, just after all seeds had been cut off.

Cause: a follower without a source calls the store after a random delay; a call to a seed that had failed already could begin just before, and its timeout of 0.5 s came on top.

Ruled out: a shorter delay (it spreads the fleet's calls), a shorter timeout (two lost segments take 0.6 s).

Change: SourceSelector::is_futile. CALL_TIMEOUT stands once, and the HTTP client uses it.

--- a/crates/cicadaweir-core/src/mirror.rs
+++ b/crates/cicadaweir-core/src/mirror.rs
@@ -28,7 +28,7 @@
 pub use log::{ChangeLog, HistoryError};
 pub use options::Options;
 pub use relay::{Admittance, Answer, ChangeRequest, Relay, Requester};
-pub use sources::{Role, Selection, Source, SourceSelector};
+pub use sources::{CALL_TIMEOUT, Role, Selection, Source, SourceSelector};
 pub use update::{Call, Item, StoreResponse, Update};
 
 /// The longest time that a response takes to arrive while it still counts as sent
--- a/crates/cicadaweir-core/src/mirror/sources.rs
+++ b/crates/cicadaweir-core/src/mirror/sources.rs
@@ -31,6 +31,10 @@
 /// its place. Sources that refuse a call do so sooner.
 const MAX_TIME_AWAY: Duration = Duration::from_millis(250);
 
+/// The longest time that a call takes which doesn't wait for changes, until it fails: the
+/// driver's timeout for connecting and for the response headers.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// The role of an entry VM in distributing the store's state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
@@ -153,19 +157,33 @@
         if prefers_store && self.store.is_over(now) {
             return Selection::Query(Source::Store);
         }
-        if let Some(peer) = leader.or_else(|| self.available_peer(now)) {
-            return Selection::Query(Source::Peer(peer));
-        }
-        let no_peer_since = *self.no_peer_since.get_or_insert(now);
-        let store_at = self
+        let no_peer_since = self.no_peer_since.unwrap_or(now);
+        let store_in = self
             .store
             .remaining(now)
             .max((no_peer_since + self.store_fallback_delay).since(now));
-        if self.peers.is_empty() || store_at == Duration::ZERO {
+        let peer = leader.or_else(|| self.available_peer(now));
+        if let Some(peer) = peer.filter(|&at| !self.is_futile(at, store_in)) {
+            return Selection::Query(Source::Peer(peer));
+        }
+        self.no_peer_since = Some(no_peer_since);
+        if self.peers.is_empty() || store_in == Duration::ZERO {
             return Selection::Query(Source::Store);
         }
+        if peer.is_some() {
+            return Selection::Wait(store_in);
+        }
         let peers = self.peers.iter().map(|backoff| backoff.remaining(now));
-        Selection::Wait(peers.min().unwrap_or(store_at).min(store_at))
+        Selection::Wait(peers.min().unwrap_or(store_in).min(store_in))
+    }
+
+    /// Returns whether a follower without a source doesn't call a peer before the store,
+    /// which is due in `store_in`: the peer has failed, and its timeout would delay that.
+    fn is_futile(&self, peer: usize, store_in: Duration) -> bool {
+        self.role == Role::Follower
+            && self.current.is_none()
+            && self.peers[peer].failures > 0
+            && store_in < CALL_TIMEOUT
     }
 
     /// Returns whether the store takes precedence over all peers. Peers that
--- a/crates/cicadaweir-core/tests/mirror/reach.rs
+++ b/crates/cicadaweir-core/tests/mirror/reach.rs
@@ -480,7 +480,7 @@
 fn search_without_seeds(variant: Variant) -> (u64, String) {
     let mut worst = (0, String::new());
     for kind in [Fault::Frozen, Fault::Dead, Fault::CutFromStore] {
-        for random in [0, MAX_RANDOM_DELAY_MICROS / 2] {
+        for random in [0, MAX_RANDOM_DELAY_MICROS / 2, MAX_RANDOM_DELAY_MICROS] {
             for phase in (0..800).step_by(130) {
                 for before in (0..6_000).step_by(70) {
                     let change_at = CHANGE_AT_MS + phase;
--- a/crates/cicadaweir-core/tests/mirror/sources.rs
+++ b/crates/cicadaweir-core/tests/mirror/sources.rs
@@ -174,6 +174,25 @@
     assert_eq!(sources.select(ms(now + 1), false), Selection::Query(peer));
 }
 
+// Guards against changes that take effect late when all seeds are unresponsive: a call to one
+// that had failed began just before the store was due (docs/incidents/late-fallback.md).
+#[test]
+fn a_failed_peer_is_not_called_if_its_timeout_would_delay_the_store() {
+    let longest_delay = 599_999 << 32;
+    let mut sources = SourceSelector::new(Role::Follower, 2, longest_delay);
+    sources.record_result(ms(0), Source::Peer(0), true);
+    sources.record_result(ms(1_500), Source::Peer(0), false);
+    let untried = Selection::Query(Source::Peer(1));
+    assert_eq!(sources.select(ms(1_500), false), untried);
+    sources.record_result(ms(2_300), Source::Peer(1), false);
+    let Selection::Wait(span) = sources.select(ms(2_300), false) else {
+        panic!("the first peer's backoff is over, and the store is due in less than a timeout");
+    };
+    let due = ms(2_300) + span;
+    assert!(due < ms(2_700), "{due:?}");
+    assert_eq!(sources.select(due, false), Selection::Query(Source::Store));
+}
+
 #[test]
 fn without_peers_every_call_goes_to_the_store() {
     let mut sources = SourceSelector::new(Role::Follower, 0, 9);
--- a/crates/cicadaweird/src/steered/client.rs
+++ b/crates/cicadaweird/src/steered/client.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, net::SocketAddr, time::Duration};
 
-use cicadaweir_core::mirror::{Item, StoreResponse};
+use cicadaweir_core::mirror::{self, Item, StoreResponse};
 use cicadaweir_platform::{
     records,
     store::{self, Event},
@@ -44,7 +44,7 @@
         Self {
             connect: Duration::from_millis(300),
             read: Duration::from_millis(1_500),
-            watch_margin: Duration::from_millis(500),
+            watch_margin: Duration::from_micros(mirror::CALL_TIMEOUT.as_micros()),
             body_silence: Duration::from_millis(1_000),
             body: Duration::from_secs(10),
         }
