fix: an opening is refused for its route only by a view that has every route in force

Callers could see: openings on a route that must be in force refused (CONFIG), by an entry VM whose view of the store is 3 to 4 s old.

Cause: a missing route was a reason to reset while the view was at most 4 s old; a route has to be in force 3 s after its confirmation.

Change: max_route_view_age, 2.5 s; with an older view the opening is dropped and its copies may pass an entry VM that knows the route.

Test that failed before (Reset(NoRoute)): an_unknown_route_is_not_reset_by_a_view_that_may_lack_a_route_in_force.

--- a/crates/cicadaweir-core/src/steer/options.rs
+++ b/crates/cicadaweir-core/src/steer/options.rs
@@ -58,6 +58,9 @@
     pub departed_reset_retransmissions: u32,
     /// The maximum age of a view of the store on which a reset may be based.
     pub max_view_age: Duration,
+    /// The same for a reset because a route is missing: less than the 3 s within which a
+    /// route that was added must be in force.
+    pub max_route_view_age: Duration,
     /// The times from an opening and from each of its copies to the next copy, and from
     /// the last copy to the end of the caller's attempt.
     pub copy_intervals: [Duration; 3],
@@ -150,6 +153,7 @@
             zone_reset_retransmissions: 2,
             departed_reset_retransmissions: 2,
             max_view_age: Duration::from_millis(4_000),
+            max_route_view_age: Duration::from_millis(2_500),
             copy_intervals: [200, 400, 800].map(Duration::from_millis),
             max_pending: 1_024,
             store_read_timeout: Duration::from_millis(1_200),
--- a/crates/cicadaweir-core/src/steer/steering.rs
+++ b/crates/cicadaweir-core/src/steer/steering.rs
@@ -435,16 +435,17 @@
     }
 
     fn missing_route_verdict(&self, now: Instant) -> Verdict {
-        if self.has_recent_view(now) {
+        if self.has_view_within(now, self.options.max_route_view_age) {
             Verdict::Reset(ResetReason::NoRoute)
         } else {
             Verdict::Drop(DropReason::RouteUnknown)
         }
     }
 
-    fn has_recent_view(&self, now: Instant) -> bool {
+    /// Returns whether the view of the store is complete and at most `max` old.
+    fn has_view_within(&self, now: Instant, max: Duration) -> bool {
         let age = self.view_age(now);
-        self.is_ready() && age.is_some_and(|age| age <= self.options.max_view_age)
+        self.is_ready() && age.is_some_and(|age| age <= max)
     }
 
     /// Decides on a packet that isn't an opening.
--- a/crates/cicadaweir-core/src/steer/steering/unresponsive.rs
+++ b/crates/cicadaweir-core/src/steer/steering/unresponsive.rs
@@ -174,7 +174,7 @@
         let entry = self.directory.target(flow.target)?;
         let departed = matches!(entry.presence, Presence::Departed { .. });
         let retransmitted = progress.retransmitted.is_some();
-        if departed && retransmitted && self.has_recent_view(now) {
+        if departed && retransmitted && self.has_view_within(now, self.options.max_view_age) {
             let retransmissions =
                 self.suspicion[flow.target.0 as usize].recent_unanswered(now, &self.options);
             let unanswered = retransmissions >= self.options.departed_reset_retransmissions;
--- a/crates/cicadaweir-core/tests/steer/openings.rs
+++ b/crates/cicadaweir-core/tests/steer/openings.rs
@@ -126,6 +126,17 @@
     );
 }
 
+// Guards against refusals of openings on a route that was added more than 3 s ago: the view is
+// older than the route, though young enough for other resets
+// (docs/incidents/refused-new-route.md).
+#[test]
+fn an_unknown_route_is_not_reset_by_a_view_that_may_lack_a_route_in_force() {
+    let mut vm = entry_vm(3);
+    let unknown = opening(flow(1, 9_999), 0);
+    let verdict = vm.packet(ms(3_000), &unknown);
+    assert_eq!(verdict, Verdict::Drop(DropReason::RouteUnknown));
+}
+
 #[test]
 fn a_target_that_warms_up_gets_fewer_flows() {
     let mut vm = Steering::new(unlimited_capacity(), "a", 1);
