--- a/crates/cicadaweir-core/src/mirror/sources.rs
+++ b/crates/cicadaweir-core/src/mirror/sources.rs
@@ -20,7 +20,7 @@
 const INITIAL_STORE_BACKOFF: Duration = Duration::from_millis(500);
 
 /// The upper limit of the store's backoff for followers.
-const MAX_STORE_BACKOFF: Duration = Duration::from_secs(4);
+const MAX_STORE_BACKOFF: Duration = Duration::from_secs(2);
 
 /// The shortest time without an available peer after which a follower queries
 /// the store; a random delay of up to the same length is added. Together with
--- a/crates/cicadaweir-core/tests/mirror/sources.rs
+++ b/crates/cicadaweir-core/tests/mirror/sources.rs
@@ -193,6 +193,35 @@
     assert_eq!(sources.select(due, false), Selection::Query(Source::Store));
 }
 
+/// The time from the end of a cut to the first call that a follower makes to the store after
+/// it, in milliseconds. All calls time out during the cut, and those to the seeds after it.
+fn time_to_store_after_cut(healed_at: u64) -> u64 {
+    let timeout = |source| if source == Source::Store { 1_500 } else { 500 };
+    let mut sources = SourceSelector::new(Role::Follower, 3, 0);
+    let mut now = 0;
+    loop {
+        match sources.select(ms(now), false) {
+            Selection::Query(Source::Store) if now >= healed_at => return now - healed_at,
+            Selection::Query(source) => {
+                now += timeout(source);
+                sources.record_result(ms(now), source, false);
+            }
+            Selection::Wait(span) => now += span.as_millis().max(1),
+        }
+    }
+}
+
+// Guards against a change that isn't in force when the rules hold again for a follower that was
+// cut off: its backoff from the store lasted as long as that takes
+// (docs/incidents/long-backoff.md).
+#[test]
+fn a_follower_calls_the_store_before_the_rules_hold_again_after_a_cut() {
+    let worst = (100..30_000).step_by(10).map(time_to_store_after_cut).max();
+    let worst = worst.expect("some cuts");
+    // `stableMs`, less the time for the call.
+    assert!(worst < 4_000 - 200, "{worst} ms after the end of a cut");
+}
+
 #[test]
 fn without_peers_every_call_goes_to_the_store() {
     let mut sources = SourceSelector::new(Role::Follower, 0, 9);
