fix: of changes of one key the change log keeps the last value alone

Cause: the log kept 1,024 changes with their values, with no bound in bytes, on every entry VM.

Ruled out: a bound in bytes alone (followers behind it would read all keys, in the storm that filled it).

Change: a change replaces an earlier one of its key, which leaves any follower in the same state, and values are shared, not copied. The log holds no value beside those of the present keys.

--- a/crates/cicadaweir-core/src/mirror.rs
+++ b/crates/cicadaweir-core/src/mirror.rs
@@ -29,7 +29,7 @@
 pub use options::Options;
 pub use relay::{Admittance, Answer, ChangeRequest, Relay, Requester};
 pub use sources::{CALL_TIMEOUT, Role, Selection, Source, SourceSelector};
-pub use update::{Call, Item, StoreResponse, Update};
+pub use update::{Call, Item, StoreResponse, Update, Value};
 
 /// The longest time that a response takes to arrive while it still counts as sent
 /// when it is received; the store usually answers within 4 ms, and availability zones
--- a/crates/cicadaweir-core/src/mirror/log.rs
+++ b/crates/cicadaweir-core/src/mirror/log.rs
@@ -1,12 +1,12 @@
 //! The store's content and recent changes, served to other entry VMs.
 
-use std::collections::VecDeque;
+use std::collections::BTreeSet;
 
 use hashbrown::HashMap;
 
-use super::{Item, StoreResponse};
+use super::{Item, StoreResponse, Value};
 
-/// The number of recent changes kept for followers that lag behind.
+/// The number of changed keys kept for followers that lag behind.
 const MAX_RECENT_CHANGES: usize = 1_024;
 
 /// The reason why the changes after a revision are unavailable.
@@ -19,15 +19,19 @@
     Compacted,
 }
 
-/// Values by key, with their revisions.
-type Values = HashMap<String, (u64, Vec<u8>)>;
+/// Values by key, with their revisions; absent for a key that was removed recently.
+type Values = HashMap<String, (u64, Option<Value>)>;
 
-/// All keys with their values, and the most recent changes.
+/// All keys with their values, and which of them have changed last.
+///
+/// Of several changes of one key the last one alone is kept, as it leaves a follower in the
+/// same state as all of them: the log holds no value beside those of the present keys,
+/// however often they change.
 #[derive(Debug, Default)]
 pub struct ChangeLog {
     values: Values,
-    /// The changes after `start`, oldest first.
-    recent: VecDeque<Item>,
+    /// The revisions and keys of the changes after `start`.
+    recent: BTreeSet<(u64, String)>,
     /// The revision after which the kept changes begin.
     start: u64,
     revision: u64,
@@ -70,9 +74,10 @@
         if revision < self.start {
             return Err(HistoryError::Compacted);
         }
-        let later = self.recent.iter().filter(|item| item.revision > revision);
+        let later = self.recent.range((revision + 1, String::new())..);
+        let items = later.filter_map(|(_, key)| self.item(key));
         Ok(StoreResponse::Events {
-            items: later.cloned().collect(),
+            items: items.collect(),
             as_of: self.revision,
         })
     }
@@ -80,21 +85,24 @@
     /// Returns all keys with their values as one page; `None` before all keys
     /// have been read.
     pub fn all(&self) -> Option<StoreResponse> {
+        let present = self.values.iter().filter(|(_, (_, value))| value.is_some());
+        let items = present.filter_map(|(key, _)| self.item(key));
         self.complete.then(|| StoreResponse::Page {
-            items: self
-                .values
-                .iter()
-                .map(|(key, (revision, value))| Item {
-                    key: key.clone(),
-                    value: Some(value.clone()),
-                    revision: *revision,
-                })
-                .collect(),
+            items: items.collect(),
             has_more: false,
             as_of: self.revision,
         })
     }
 
+    fn item(&self, key: &str) -> Option<Item> {
+        let (revision, value) = self.values.get(key)?;
+        Some(Item {
+            key: key.to_owned(),
+            value: value.clone(),
+            revision: *revision,
+        })
+    }
+
     fn apply_page(&mut self, items: &[Item], has_more: bool, as_of: u64) {
         if as_of < self.revision {
             self.reading = None;
@@ -103,8 +111,8 @@
         let (lowest, values) = self.reading.get_or_insert_with(|| (as_of, Values::new()));
         *lowest = as_of.min(*lowest);
         for item in items {
-            if let Some(value) = &item.value {
-                values.insert(item.key.clone(), (item.revision, value.clone()));
+            if item.value.is_some() {
+                values.insert(item.key.clone(), (item.revision, item.value.clone()));
             }
         }
         if has_more {
@@ -124,20 +132,18 @@
             if item.revision <= self.revision {
                 continue;
             }
-            match &item.value {
-                Some(value) => {
-                    let entry = (item.revision, value.clone());
-                    self.values.insert(item.key.clone(), entry);
-                }
-                None => {
-                    self.values.remove(&item.key);
-                }
+            let entry = (item.revision, item.value.clone());
+            if let Some((earlier, _)) = self.values.insert(item.key.clone(), entry) {
+                self.recent.remove(&(earlier, item.key.clone()));
             }
-            self.recent.push_back(item.clone());
+            self.recent.insert((item.revision, item.key.clone()));
         }
         while self.recent.len() > MAX_RECENT_CHANGES {
-            if let Some(evicted) = self.recent.pop_front() {
-                self.start = evicted.revision;
+            if let Some((revision, key)) = self.recent.pop_first() {
+                self.start = revision;
+                if self.values.get(&key).is_some_and(|entry| entry.1.is_none()) {
+                    self.values.remove(&key);
+                }
             }
         }
         self.revision = self.revision.max(as_of);
--- a/crates/cicadaweir-core/src/mirror/update.rs
+++ b/crates/cicadaweir-core/src/mirror/update.rs
@@ -1,5 +1,7 @@
 //! Calls that a mirror requests, their outcomes and the resulting updates.
 
+use std::sync::Arc;
+
 use crate::time::Duration;
 
 /// A call that the driver makes next.
@@ -23,13 +25,16 @@
     Backoff(Duration),
 }
 
+/// A value in the store. Copies share the bytes.
+pub type Value = Arc<[u8]>;
+
 /// The state of one key in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Item {
     /// The key.
     pub key: String,
     /// The value; `None` if the key was removed.
-    pub value: Option<Vec<u8>>,
+    pub value: Option<Value>,
     /// The revision of the key's latest change.
     pub revision: u64,
 }
@@ -67,7 +72,7 @@
         /// The key.
         key: String,
         /// The value.
-        value: Vec<u8>,
+        value: Value,
         /// Its revision.
         revision: u64,
     },
--- a/crates/cicadaweir-proto/src/feed.rs
+++ b/crates/cicadaweir-proto/src/feed.rs
@@ -13,7 +13,7 @@
 //! read from each other.
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
-use cicadaweir_core::mirror::{Item, StoreResponse};
+use cicadaweir_core::mirror::{Item, StoreResponse, Value};
 use serde::{Deserialize, Serialize};
 
 /// The path that returns all keys.
@@ -82,7 +82,7 @@
             .map(|item| {
                 let value = item.value.map(|text| STANDARD.decode(text)).transpose();
                 Ok(Item {
-                    value: value.map_err(|_| item.key.clone())?,
+                    value: value.map_err(|_| item.key.clone())?.map(Value::from),
                     key: item.key,
                     revision: item.revision,
                 })
--- a/crates/cicadaweird/src/steered/client.rs
+++ b/crates/cicadaweird/src/steered/client.rs
@@ -392,7 +392,7 @@
     };
     Item {
         key: item.key,
-        value: Some(value),
+        value: Some(value.into()),
         revision: item.revision,
     }
 }
