--- a/crates/cicadaweir-core/tests/steer/main.rs
+++ b/crates/cicadaweir-core/tests/steer/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod affinity;
+mod combinations;
 mod directory;
 mod flows;
 mod openings;
