test: callers of the soak use their ports again, pause, and take the last cookie

Each port is in use again a few seconds after its flow was closed, with another initial sequence number; callers close their flows with a FIN, send the last cookie that they received, and a third of them pauses for 5.5 s between requests. A reset of an open flow by another target than its own is a violation.

--- a/crates/cicadaweir-soak/src/callers.rs
+++ b/crates/cicadaweir-soak/src/callers.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use cicadaweir_standins::steered::{ACK, HeaderFields, ROUTE_PORT, RST, SYN, packet_with};
+use cicadaweir_standins::steered::{ACK, FIN, HeaderFields, ROUTE_PORT, RST, SYN, packet_with};
 
 /// The times after the first opening at which it is retransmitted.
 const OPENING_RETRANSMISSIONS: [Duration; 2] =
@@ -17,8 +17,13 @@
 /// The time between an answer and the next request of a flow.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(150);
 
-/// The number of requests of a flow.
+/// The time between an answer and the next request of the flows that pause: longer than the
+/// rules take to hold again for a daemon that was disturbed.
+const LONG_REQUEST_INTERVAL: Duration = Duration::from_millis(5_500);
+
+/// The number of requests of a flow, and of one that pauses.
 const REQUESTS_PER_FLOW: u32 = 12;
+const REQUESTS_PER_PAUSING_FLOW: u32 = 2;
 
 /// The progress of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,8 +47,10 @@
     Answered,
     /// The opening or a request timed out, or the opening was reset.
     GivenUp,
-    /// The target reset the open flow.
+    /// The flow's target reset the open flow.
     ResetByTarget,
+    /// Another target than the flow's reset it; contains both.
+    ResetByOtherTarget(u8, u8),
     /// A daemon reset the flow, which was open at this target.
     ResetByDaemon(u8),
     /// A request was answered by another target; contains the target of the flow
@@ -64,22 +71,26 @@
     cookie: u32,
     sequence: u32,
     ack: u32,
+    /// Whether the caller pauses between its requests.
+    pauses: bool,
     answered: u32,
     stage_since: Instant,
     last_sent: Instant,
 }
 
 impl Caller {
-    /// Creates a caller that opens its flow at the first poll.
-    pub fn new(port: u16, now: Instant) -> Self {
+    /// Creates a caller that opens its flow at the first poll, with this initial sequence
+    /// number.
+    pub fn new(port: u16, sequence: u32, pauses: bool, now: Instant) -> Self {
         Self {
             port,
             stage: Stage::Opening(0),
             daemon: 0,
             target: 0,
             cookie: 0,
-            sequence: 100,
+            sequence,
             ack: 0,
+            pauses,
             answered: 0,
             stage_since: now,
             last_sent: now,
@@ -105,7 +116,7 @@
                 }
                 (packet, None)
             }
-            Stage::Idle if waited >= REQUEST_INTERVAL => {
+            Stage::Idle if waited >= self.request_interval() => {
                 self.stage = Stage::AwaitingAnswer(1);
                 self.stage_since = now;
                 self.last_sent = now;
@@ -127,6 +138,21 @@
         }
     }
 
+    fn request_interval(&self) -> Duration {
+        match self.pauses {
+            true => LONG_REQUEST_INTERVAL,
+            false => REQUEST_INTERVAL,
+        }
+    }
+
+    fn is_done(&self) -> bool {
+        let requests = match self.pauses {
+            true => REQUESTS_PER_PAUSING_FLOW,
+            false => REQUESTS_PER_FLOW,
+        };
+        self.answered >= requests
+    }
+
     /// Handles a received packet; returns a packet to send and an event.
     pub fn handle_answer(
         &mut self,
@@ -142,6 +168,10 @@
         };
         let (flags, from_daemon) = (answer[20], number(24) == 0);
         let target = (number(12) / 1_000) as u8;
+        // Each end sends the last cookie that it received on the flow.
+        if !from_daemon && flags != RST {
+            self.cookie = number(28);
+        }
         match (flags, self.stage) {
             (_, Stage::Ended) => (None, None),
             (RST, stage) => {
@@ -149,7 +179,8 @@
                 let open = !matches!(stage, Stage::Opening(_));
                 let event = match (open, from_daemon) {
                     (true, true) => FlowEvent::ResetByDaemon(self.target),
-                    (true, false) => FlowEvent::ResetByTarget,
+                    (true, false) if target == self.target => FlowEvent::ResetByTarget,
+                    (true, false) => FlowEvent::ResetByOtherTarget(self.target, target),
                     (false, _) => FlowEvent::GivenUp,
                 };
                 (None, Some(event))
@@ -158,8 +189,7 @@
                 self.stage = Stage::Idle;
                 self.stage_since = now;
                 self.target = target;
-                self.cookie = number(28);
-                self.sequence = 101;
+                self.sequence = self.sequence.wrapping_add(1);
                 self.ack = number(12) + 1;
                 (
                     Some(self.packet(net, ACK, self.ack, &[])),
@@ -173,16 +203,19 @@
                     return (None, Some(FlowEvent::Moved(self.target, answering_target)));
                 }
                 self.answered += 1;
-                self.sequence += 7;
+                self.sequence = self.sequence.wrapping_add(7);
                 self.ack += 1;
                 self.stage_since = now;
-                self.stage = if self.answered < REQUESTS_PER_FLOW {
-                    Stage::Idle
-                } else {
-                    Stage::Ended
+                let flags = match self.is_done() {
+                    true => FIN | ACK,
+                    false => ACK,
+                };
+                self.stage = match self.is_done() {
+                    true => Stage::Ended,
+                    false => Stage::Idle,
                 };
                 (
-                    Some(self.packet(net, ACK, self.ack, &[])),
+                    Some(self.packet(net, flags, self.ack, &[])),
                     Some(FlowEvent::Answered),
                 )
             }
--- a/crates/cicadaweir-soak/src/lib.rs
+++ b/crates/cicadaweir-soak/src/lib.rs
@@ -7,6 +7,8 @@
 //! * packets of an open flow reach the target of the flow and are answered by it;
 //! * only its target resets an open flow while that target is alive, unless the
 //!   daemon that handled the packet was itself disturbed by a fault;
+//! * callers use their ports again soon, with other sequence numbers, and some pause for longer
+//!   than a daemon counts as disturbed;
 //! * a target handles only packets that carry its identity, and only the cookie
 //!   in them is changed by daemons;
 //! * the configuration version of a daemon process never decreases;
--- a/crates/cicadaweir-soak/src/run.rs
+++ b/crates/cicadaweir-soak/src/run.rs
@@ -34,6 +34,15 @@
 /// The size of an odd entry in bytes.
 const ODD_BYTES: usize = 500_000;
 
+/// The number of ports that callers use in turn, so that each is soon in use again.
+const PORTS: u16 = 96;
+
+/// The first of these ports.
+const FIRST_PORT: u16 = 1_024;
+
+/// Of this many flows one pauses between its requests.
+const PAUSING_EVERY: u32 = 3;
+
 /// The interval at which the routers probe the readiness of daemons.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -61,6 +70,8 @@
     versions: HashMap<u32, f64>,
     target_violations: Violations,
     next_port: u16,
+    /// The number of flows so far.
+    flow_count: u32,
     version: u64,
     next_probe: Instant,
     rng: Pcg64Mcg,
@@ -119,7 +130,8 @@
             crashed: HashMap::new(),
             versions: HashMap::new(),
             target_violations,
-            next_port: 1_024,
+            next_port: FIRST_PORT,
+            flow_count: 0,
             version: 1,
             next_probe: Instant::now(),
             site,
@@ -270,6 +282,21 @@
         }
     }
 
+    /// Starts a flow from the next port that is free.
+    fn start_flow(&mut self) {
+        while self.callers.contains_key(&self.next_port) {
+            self.next_port = FIRST_PORT + (self.next_port - FIRST_PORT + 1) % PORTS;
+        }
+        self.flow_count += 1;
+        // Spreads the initial sequence numbers without a draw, so that the faults of a seed
+        // stay the same.
+        let sequence = self.flow_count.wrapping_mul(0x9e37_79b9);
+        let pauses = self.flow_count % PAUSING_EVERY == 0;
+        let caller = Caller::new(self.next_port, sequence, pauses, Instant::now());
+        self.callers.insert(self.next_port, caller);
+        self.next_port = FIRST_PORT + (self.next_port - FIRST_PORT + 1) % PORTS;
+    }
+
     /// Runs callers and readiness probes for the given duration.
     fn run_callers(&mut self, duration: Duration) {
         let end = Instant::now() + duration;
@@ -277,9 +304,7 @@
         while Instant::now() < end {
             self.probe_daemons();
             while self.callers.len() < usize::from(self.options.flows) {
-                self.next_port = self.next_port.checked_add(1).unwrap_or(1_024);
-                let caller = Caller::new(self.next_port, Instant::now());
-                self.callers.insert(self.next_port, caller);
+                self.start_flow();
             }
             let ports: Vec<u16> = self.callers.keys().copied().collect();
             for port in ports {
@@ -377,17 +402,19 @@
                 let violation = format!("the flow of port {port} moved from target {from} to {to}");
                 self.report.violations.push(violation);
             }
+            FlowEvent::ResetByOtherTarget(target, other) => {
+                if self.is_undisturbed(daemon) && !self.crashed.contains_key(&target) {
+                    let violation = format!(
+                        "the flow of port {port}, open at target {target}, was reset by target {other}"
+                    );
+                    self.report.violations.push(violation);
+                }
+            }
             FlowEvent::ResetByDaemon(target) => {
                 self.report.resets += 1;
-                let recently_disturbed = |number: &u8| {
-                    let end = self.disturbance_ends.get(number);
-                    end.is_some_and(|end| end.elapsed() < RECOVERY_PERIOD)
-                };
                 let target_disturbed =
-                    self.crashed.contains_key(&target) || recently_disturbed(&(100 + target));
-                let paused = (0..self.daemons.len())
-                    .any(|index| self.paused[index] && self.daemons[index].number == daemon);
-                if !target_disturbed && !recently_disturbed(&daemon) && !paused {
+                    self.crashed.contains_key(&target) || self.is_recently_disturbed(100 + target);
+                if !target_disturbed && self.is_undisturbed(daemon) {
                     let violation = format!(
                         "daemon {daemon} reset the flow of port {port}, open at target {target}"
                     );
@@ -397,6 +424,20 @@
         }
     }
 
+    /// Returns whether the last disturbance of a daemon, or of a target with its number plus
+    /// 100, ended a short time ago.
+    fn is_recently_disturbed(&self, number: u8) -> bool {
+        let end = self.disturbance_ends.get(&number);
+        end.is_some_and(|end| end.elapsed() < RECOVERY_PERIOD)
+    }
+
+    /// Returns whether the rules hold for what a daemon does.
+    fn is_undisturbed(&self, daemon: u8) -> bool {
+        let paused = (0..self.daemons.len())
+            .any(|index| self.paused[index] && self.daemons[index].number == daemon);
+        !paused && !self.is_recently_disturbed(daemon)
+    }
+
     /// Ends all faults and waits until the latest configuration is applied and
     /// requests are answered.
     fn recover(&mut self) {
--- a/crates/cicadaweir-soak/src/target.rs
+++ b/crates/cicadaweir-soak/src/target.rs
@@ -10,7 +10,7 @@
     thread,
 };
 
-use cicadaweir_standins::steered::{ACK, RST, SYN, target_identity};
+use cicadaweir_standins::steered::{ACK, FIN, RST, SYN, target_identity};
 
 /// The length of a packet header, in bytes.
 const HEADER_BYTES: usize = 32;
@@ -96,6 +96,10 @@
                 (SYN | ACK, vec![])
             }
             _ if !flows.contains(&key) => (RST, vec![]),
+            flags if flags & FIN != 0 => {
+                flows.remove(&key);
+                return Ok(None);
+            }
             _ if packet.len() > HEADER_BYTES => (ACK, vec![n]),
             _ => return Ok(None),
         };
--- a/crates/cicadaweir-standins/src/steered.rs
+++ b/crates/cicadaweir-standins/src/steered.rs
@@ -39,6 +39,9 @@
 /// The flag of an acknowledgement.
 pub const ACK: u8 = 64;
 
+/// The flag of a packet that closes a flow.
+pub const FIN: u8 = 8;
+
 /// The flag of a reset.
 pub const RST: u8 = 16;
 
