fix: an entry VM that starts in an outage of the store holds removals back

Callers saw: openings refused for want of targets (no_target) by entry VMs that had started while the store was down, just after it had come back without the entries that had expired.

Cause: removals are held back after an outage that the mirror has noticed. A seed that had failed but whose backoff was over counted as available, although it is no longer called before the store, so that the store's failure was not passed on.

Ruled out: lost entries (back 0.6 to 2 s later), a late view (0.2 s).

Change: SourceSelector::has_available_peer leaves out failed seeds of a follower without a source; keys from an old view of another entry VM count as an outage (Mirror::record_outage).

Tests that failed before: a_failed_seed_is_no_hope_for_a_follower_that_loses_the_store; without record_outage removals_are_delayed_after_a_start_from_an_old_view.

--- a/crates/cicadaweir-core/src/mirror.rs
+++ b/crates/cicadaweir-core/src/mirror.rs
@@ -170,6 +170,14 @@
         self.flush_removals(now, updates);
     }
 
+    /// Records that the replica comes from an entry VM whose own view is old: the store has
+    /// been unavailable to others, and removals may belong to that outage.
+    pub fn record_outage(&mut self, now: Instant) {
+        if self.complete {
+            self.unavailable_since.get_or_insert(now);
+        }
+    }
+
     /// Returns the revision up to which all changes have been applied.
     pub const fn revision(&self) -> u64 {
         self.revision
@@ -210,9 +218,7 @@
     fn record_failure(&mut self, now: Instant) {
         self.failures = self.failures.saturating_add(1);
         self.backoff_due = true;
-        if self.complete {
-            self.unavailable_since.get_or_insert(now);
-        }
+        self.record_outage(now);
     }
 
     fn record_success(&mut self, now: Instant) {
--- a/crates/cicadaweir-core/src/mirror/sources.rs
+++ b/crates/cicadaweir-core/src/mirror/sources.rs
@@ -180,10 +180,12 @@
     /// Returns whether a follower without a source doesn't call a peer before the store,
     /// which is due in `store_in`: the peer has failed, and its timeout would delay that.
     fn is_futile(&self, peer: usize, store_in: Duration) -> bool {
-        self.role == Role::Follower
-            && self.current.is_none()
-            && self.peers[peer].failures > 0
-            && store_in < CALL_TIMEOUT
+        self.has_failed_too(peer) && store_in < CALL_TIMEOUT
+    }
+
+    /// Returns whether this is a follower without a source, and a peer has failed too.
+    fn has_failed_too(&self, peer: usize) -> bool {
+        self.role == Role::Follower && self.current.is_none() && self.peers[peer].failures > 0
     }
 
     /// Returns whether the store takes precedence over all peers. Peers that
@@ -201,9 +203,11 @@
         }
     }
 
-    /// Returns whether any peer's backoff is over.
+    /// Returns whether a peer may still respond when the store has failed. A peer that has
+    /// failed too doesn't count, though its backoff may be over.
     pub fn has_available_peer(&self, now: Instant) -> bool {
-        self.available_peer(now).is_some()
+        self.available_peer(now)
+            .is_some_and(|peer| !self.has_failed_too(peer))
     }
 
     /// Returns whether `source` is the one that responded last. A call to any
--- a/crates/cicadaweir-core/tests/mirror/copy.rs
+++ b/crates/cicadaweir-core/tests/mirror/copy.rs
@@ -226,3 +226,19 @@
     }
     assert!(longest > options.initial_backoff);
 }
+
+// Guards against refusals for want of targets: an entry VM that started in an outage of the
+// store, from the old view of another one, applied the removals of entries that had expired in
+// the outage at once (docs/incidents/removals-after-a-start.md).
+#[test]
+fn removals_are_delayed_after_a_start_from_an_old_view() {
+    let mut mirror = complete_mirror();
+    mirror.record_outage(ms(10));
+    let expired = events(vec![removal("a", 6), removal("b", 7)], 7);
+    assert_eq!(respond(&mut mirror, 800, expired), ["current"]);
+    let back = events(vec![item("a", 8)], 8);
+    assert_eq!(respond(&mut mirror, 1_600, back), ["a=8", "current"]);
+    let delay = Options::default().removal_delay.as_millis();
+    let later = events(vec![], 8);
+    assert_eq!(respond(&mut mirror, 800 + delay, later), ["current", "-b"]);
+}
--- a/crates/cicadaweir-core/tests/mirror/sources.rs
+++ b/crates/cicadaweir-core/tests/mirror/sources.rs
@@ -222,6 +222,19 @@
     assert!(worst < 4_000 - 200, "{worst} ms after the end of a cut");
 }
 
+// Guards against an outage of the store that goes unnoticed, so that removals aren't delayed:
+// the seeds have failed too, and their backoff is over (docs/incidents/removals-after-a-start.md).
+#[test]
+fn a_failed_seed_is_no_hope_for_a_follower_that_loses_the_store() {
+    let mut sources = SourceSelector::new(Role::Follower, 1, 0);
+    assert!(sources.has_available_peer(ms(0)));
+    sources.record_result(ms(0), Source::Peer(0), false);
+    sources.record_result(ms(900), Source::Store, false);
+    assert!(!sources.has_available_peer(ms(900)));
+    sources.record_result(ms(1_000), Source::Peer(0), true);
+    assert!(sources.has_available_peer(ms(1_000)));
+}
+
 #[test]
 fn without_peers_every_call_goes_to_the_store() {
     let mut sources = SourceSelector::new(Role::Follower, 0, 9);
--- a/crates/cicadaweird/src/steered/follow.rs
+++ b/crates/cicadaweird/src/steered/follow.rs
@@ -189,6 +189,9 @@
             self.feed
                 .record(&received.response, received.sent_at, received.is_stale);
             mirror.handle_response(now(), received.response, &mut updates);
+            if from_peer && received.is_stale {
+                mirror.record_outage(now());
+            }
             let mut rejected = received.rejected;
             let update = StoreUpdate::new(
                 &mut updates,
