test: callers of the soak take only what belongs to their flow

Targets acknowledge the packet that they answer, and callers ignore what acknowledges another packet than their last. An answer or reset by a wrong target to a packet of the flow itself still counts.

--- a/crates/cicadaweir-soak/src/callers.rs
+++ b/crates/cicadaweir-soak/src/callers.rs
@@ -168,6 +168,12 @@
         };
         let (flags, from_daemon) = (answer[20], number(24) == 0);
         let target = (number(12) / 1_000) as u8;
+        // A packet that lay unread in a paused daemon may be of an earlier flow of this port;
+        // what its target answers doesn't belong to this one.
+        let is_of_this_flow = from_daemon || number(16) == self.sequence;
+        if !is_of_this_flow {
+            return (None, None);
+        }
         // Each end sends the last cookie that it received on the flow.
         if !from_daemon && flags != RST {
             self.cookie = number(28);
--- a/crates/cicadaweir-soak/src/target.rs
+++ b/crates/cicadaweir-soak/src/target.rs
@@ -109,6 +109,8 @@
         answer[6..10].copy_from_slice(&packet[2..6]);
         answer[10..12].copy_from_slice(&packet[0..2]);
         answer[12..16].copy_from_slice(&(u32::from(n) * 1_000).to_be_bytes());
+        // Acknowledges the packet, so that its caller can tell to which flow this belongs.
+        answer[16..20].copy_from_slice(&packet[12..16]);
         answer[20] = flags;
         answer[23] = data.len() as u8;
         answer[24..28].copy_from_slice(&1u32.to_be_bytes());
